--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, and the runner of the tests."""
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration: a whole deployment as plain processes on one machine."""
--- /dev/null
+++ b/demo/deployment.py
@@ -0,0 +1,221 @@
+"""Starts and ends the processes of a deployment on loopback addresses."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+from quetzalwall.connection.json_call import create_json_client
+from quetzalwall.exceptions import PeerError
+
+__all__ = ["Deployment", "create_deployment"]
+
+ROOT = Path(__file__).resolve().parent.parent
+START_TIMEOUT_S = 15.0
+END_TIMEOUT_S = 5.0
+
+
+class Deployment:
+    """Processes of one deployment.
+
+    Parameters
+    ----------
+    example : str
+        Folder of the settings, for example ``"whetstone"``.
+    logs : pathlib.Path
+        Folder for the processes' logs.
+    """
+
+    def __init__(self, example, logs):
+        self.folder = ROOT / "examples" / example
+        self.logs = logs
+        self.tree = json.loads((self.folder / "tree.json").read_text())
+        self.instances = {
+            name: spec
+            for subtree in self.tree.values()
+            for name, spec in subtree.get("instances", {}).items()
+        }
+        first = json.loads(
+            (self.folder / f"{next(iter(self.instances))}.json").read_text()
+        )
+        self.platform = first["platform"]["table"]
+        self._processes = {}
+
+    def start(self):
+        """Start all processes and wait until every instance is ready."""
+        self.logs.mkdir(parents=True, exist_ok=True)
+        tree = str(self.folder / "tree.json")
+        host, port = self.platform.split(":")
+        self._run(
+            "platform",
+            *("-m", "standins.platform", "--address", host),
+            *("--port", port, "--tree", tree),
+        )
+        self._run("endpoints", "-m", "standins.endpoints", "--tree", tree)
+        self._wait(self.platform, "/listing", lambda body: True)
+        for name in self.instances:
+            self.start_instance(name)
+        for name in self.instances:
+            self.wait_ready(name)
+
+    def start_instance(self, name):
+        """Start one entry instance.
+
+        Parameters
+        ----------
+        name : str
+            The instance.
+        """
+        settings = str(self.folder / f"{name}.json")
+        self._run(name, "-m", "quetzalwall", "entry", "--settings", settings)
+
+    def wait_ready(self, name):
+        """Wait until an instance may use slots.
+
+        Parameters
+        ----------
+        name : str
+            The instance.
+        """
+        self._wait(self.place(name), "/status", _has_slots)
+
+    def place(self, name):
+        """Return the address and port of an instance.
+
+        Parameters
+        ----------
+        name : str
+            The instance.
+
+        Returns
+        -------
+        str
+        """
+        spec = self.instances[name]
+        return f"{spec['address']}:{spec['port']}"
+
+    def send_signal(self, name, number):
+        """Send a signal to a process of this deployment.
+
+        Parameters
+        ----------
+        name : str
+            The instance.
+        number : int
+            The signal.
+        """
+        self._processes[name].send_signal(number)
+
+    def wait_end(self, name, timeout_s):
+        """Wait until a process has ended.
+
+        Parameters
+        ----------
+        name : str
+            The instance.
+        timeout_s : float
+            Seconds to wait.
+
+        Returns
+        -------
+        int
+            Its exit status.
+        """
+        return self._processes[name].wait(timeout_s)
+
+    def pid(self, name):
+        """Return the process identifier of a process.
+
+        Parameters
+        ----------
+        name : str
+            The instance.
+
+        Returns
+        -------
+        int
+        """
+        return self._processes[name].pid
+
+    def call(self, place, method, target, body=None):
+        """Call a process with JSON.
+
+        Parameters
+        ----------
+        place : str
+            Address and port.
+        method, target : str
+            HTTP method and path.
+        body : object, default=None
+            Sent as JSON.
+
+        Returns
+        -------
+        JsonAnswer
+        """
+        host, port = place.split(":")
+        client = create_json_client(host, int(port), place, timeout_s=5.0)
+        try:
+            return client.call(method, target, body)
+        finally:
+            client.close()
+
+    def close(self):
+        """End all processes."""
+        for process in self._processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self._processes.values():
+            process.wait(END_TIMEOUT_S)
+
+    def _run(self, name, *arguments):
+        log = open(self.logs / f"{name}.log", "ab")  # noqa: SIM115
+        environment = os.environ | {"PYTHONPATH": str(ROOT)}
+        self._processes[name] = subprocess.Popen(
+            [sys.executable, *arguments],
+            stdout=log,
+            stderr=subprocess.STDOUT,
+            cwd=ROOT,
+            env=environment,
+        )
+        log.close()
+
+    def _wait(self, place, target, ready):
+        until = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < until:
+            try:
+                if ready(self.call(place, "GET", target).body):
+                    return
+            except PeerError:
+                pass
+            time.sleep(0.05)
+        raise TimeoutError(f"{place} is not ready after {START_TIMEOUT_S} s")
+
+
+def _has_slots(status):
+    return any(
+        slots["entitled"]
+        for service in status["services"].values()
+        for slots in service["regions"].values()
+    )
+
+
+def create_deployment(example, logs):
+    """Return a deployment that is not yet started.
+
+    Parameters
+    ----------
+    example : str
+        Folder of the settings.
+    logs : pathlib.Path
+        Folder for the processes' logs.
+
+    Returns
+    -------
+    Deployment
+    """
+    return Deployment(example, logs)
--- /dev/null
+++ b/quetzalwall/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Subcommands of the ``quetzalwall`` program."""
--- /dev/null
+++ b/quetzalwall/connection/__init__.py
@@ -0,0 +1,1 @@
+"""What lives as long as one connection."""
--- /dev/null
+++ b/quetzalwall/connection/http_server.py
@@ -0,0 +1,181 @@
+"""HTTP server of a process: routing by path, limits on input, JSON answers."""
+
+import json
+from typing import NamedTuple
+
+from gevent.pool import Pool
+from gevent.pywsgi import WSGIHandler
+
+from quetzalwall.connection.nodelay import NoDelayServer
+
+__all__ = [
+    "BadRequest",
+    "HttpLimits",
+    "QuietHandler",
+    "create_server",
+    "json_answer",
+    "read_json",
+]
+
+STATUS_TEXT = {
+    200: "200 OK",
+    202: "202 Accepted",
+    400: "400 Bad Request",
+    403: "403 Forbidden",
+    404: "404 Not Found",
+    405: "405 Method Not Allowed",
+    409: "409 Conflict",
+    411: "411 Length Required",
+    413: "413 Content Too Large",
+    422: "422 Unprocessable Content",
+    429: "429 Too Many Requests",
+    500: "500 Internal Server Error",
+    502: "502 Bad Gateway",
+    503: "503 Service Unavailable",
+    504: "504 Gateway Timeout",
+}
+IDLE_TIMEOUT_S = 120.0
+STALL_TIMEOUT_S = 60.0  # for a caller that neither sends nor reads
+
+
+class HttpLimits(NamedTuple):
+    """Limits on what a server accepts.
+
+    Attributes
+    ----------
+    connections : int
+        Connections open at once.
+    json_bytes : int
+        Length of a body in JSON.
+    """
+
+    connections: int = 4000
+    json_bytes: int = 4 * 1024 * 1024
+
+
+class BadRequest(Exception):
+    """The caller's request is malformed.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status, 400 to 499.
+    message : str
+        What is wrong with it.
+    """
+
+    def __init__(self, status, message):
+        super().__init__(message)
+        self.status = status
+        self.message = message
+
+
+class QuietHandler(WSGIHandler):
+    """Handler that keeps requests out of the log and closes idle connections."""
+
+    def log_request(self):
+        """Write nothing: each request has its own decision line."""
+
+    def read_requestline(self):
+        """Return the next request line, or an empty one when none comes in time.
+
+        Returns
+        -------
+        str
+        """
+        self.socket.settimeout(IDLE_TIMEOUT_S)
+        try:
+            line = super().read_requestline()
+        except TimeoutError:
+            return ""
+        self.socket.settimeout(STALL_TIMEOUT_S)
+        return line
+
+
+def create_server(address, port, application, limits=None, handler=QuietHandler):
+    """Return a server that is not yet started.
+
+    Parameters
+    ----------
+    address : str
+        IP number to listen on.
+    port : int
+        TCP port to listen on; 0 takes a free one.
+    application : callable
+        WSGI application.
+    limits : HttpLimits, default=None
+        Limits on input; the defaults if None.
+    handler : type, default=QuietHandler
+        Class of the handler of one connection.
+
+    Returns
+    -------
+    NoDelayServer
+        Its ``start`` and ``stop`` methods begin and end service.
+    """
+    limits = limits or HttpLimits()
+    return NoDelayServer(
+        (address, port),
+        application,
+        handler_class=handler,
+        spawn=Pool(limits.connections),
+        log=None,
+        error_log=None,
+    )
+
+
+def json_answer(start_response, status, body, headers=()):
+    """Send one answer in JSON.
+
+    Parameters
+    ----------
+    start_response : callable
+        From the WSGI server.
+    status : int
+        HTTP status.
+    body : object
+        Encoded as JSON with sorted keys.
+    headers : sequence of (str, str), default=()
+        Further headers.
+
+    Returns
+    -------
+    list of bytes
+        The body, for the WSGI server.
+    """
+    raw = json.dumps(body, sort_keys=True).encode()
+    fixed = [("Content-Type", "application/json"), ("Content-Length", str(len(raw)))]
+    start_response(STATUS_TEXT[status], [*fixed, *headers])
+    return [raw]
+
+
+def read_json(environ, limits=None):
+    """Return the decoded body of a request.
+
+    Parameters
+    ----------
+    environ : dict
+        WSGI environment.
+    limits : HttpLimits, default=None
+        Limits on input; the defaults if None.
+
+    Returns
+    -------
+    object
+
+    Raises
+    ------
+    BadRequest
+        The body is missing, too long or not JSON.
+    """
+    limits = limits or HttpLimits()
+    length = environ.get("CONTENT_LENGTH")
+    if not length:
+        raise BadRequest(411, "a body with Content-Length is required")
+    if not length.isdigit() or int(length) > limits.json_bytes:
+        raise BadRequest(413, f"body is longer than {limits.json_bytes} bytes")
+    raw = environ["wsgi.input"].read(int(length))
+    try:
+        return json.loads(raw)
+    except (ValueError, RecursionError) as exc:
+        raise BadRequest(400, f"body is not JSON: {exc}") from exc
--- /dev/null
+++ b/quetzalwall/connection/json_call.py
@@ -0,0 +1,135 @@
+"""Calls between processes: one JSON request, one JSON answer."""
+
+import json
+from typing import NamedTuple
+
+import gevent
+from geventhttpclient.response import HTTPParseError
+
+from quetzalwall.connection.single_attempt import SentRequest, create_client
+from quetzalwall.exceptions import EndpointError, PeerError
+
+__all__ = ["JsonAnswer", "JsonClient", "create_json_client"]
+
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+JSON_HEADERS = {"Content-Type": "application/json"}
+
+
+class JsonAnswer(NamedTuple):
+    """Status code and decoded body of an answer."""
+
+    status: int
+    body: object
+
+
+class JsonClient:
+    """Client of one peer that speaks JSON over HTTP.
+
+    Parameters
+    ----------
+    host : str
+        IP number of the peer.
+    port : int
+        TCP port of the peer.
+    peer : str
+        Name of the peer in errors.
+    timeout_s : float, default=1.0
+        Seconds that a whole call may take.
+    size : int, default=8
+        Connections at most.
+    """
+
+    def __init__(self, host, port, peer, timeout_s=1.0, size=8):
+        self.peer = peer
+        self.timeout_s = timeout_s
+        self._http = create_client(
+            host, port, peer, connect_timeout_s=timeout_s, size=size
+        )
+
+    def call(self, method, target, body=None, headers=None, timeout_s=None):
+        """Send one request and return the decoded answer.
+
+        Parameters
+        ----------
+        method : str
+            HTTP method.
+        target : str
+            Path and query string.
+        body : object, default=None
+            Encoded as JSON; None sends no body.
+        headers : dict, default=None
+            Further headers.
+        timeout_s : float, default=None
+            Seconds that the whole call may take; the client's own if None.
+
+        Returns
+        -------
+        JsonAnswer
+
+        Raises
+        ------
+        PeerError
+            No complete answer in JSON arrived in time; the request may have taken
+            effect.
+        """
+        limit_s = self.timeout_s if timeout_s is None else timeout_s
+        data = b"" if body is None else json.dumps(body).encode()
+        req = SentRequest(method, target, JSON_HEADERS | (headers or {}), data)
+        timeout = gevent.Timeout(limit_s)
+        timeout.start()
+        try:
+            return self._exchange(req, limit_s, target)
+        except gevent.Timeout as exc:
+            if exc is not timeout:
+                raise
+            raise PeerError(f"no answer in {limit_s} s", target, self.peer) from exc
+        finally:
+            timeout.close()
+
+    def close(self):
+        """Close all connections."""
+        self._http.close()
+
+    def _exchange(self, req, limit_s, target):
+        try:
+            res = self._http.send(req, limit_s)
+            raw = _read_bounded(res)
+        except (EndpointError, HTTPParseError, OSError) as exc:
+            raise PeerError(str(exc), target, self.peer) from exc
+        try:
+            return JsonAnswer(res.status_code, json.loads(raw) if raw else None)
+        except ValueError as exc:
+            raise PeerError("answer is not JSON", target, self.peer) from exc
+
+
+def _read_bounded(res):
+    try:
+        raw = res.read(MAX_ANSWER_BYTES)
+        if not res.message_complete:
+            raise OSError(f"answer is longer than {MAX_ANSWER_BYTES} bytes")
+        return raw
+    finally:
+        res.release()
+
+
+def create_json_client(host, port, peer, timeout_s=1.0, size=8):
+    """Return a JSON client of one peer.
+
+    Parameters
+    ----------
+    host : str
+        IP number of the peer.
+    port : int
+        TCP port of the peer.
+    peer : str
+        Name of the peer in errors.
+    timeout_s : float, default=1.0
+        Seconds that a whole call may take.
+    size : int, default=8
+        Connections at most.
+
+    Returns
+    -------
+    JsonClient
+    """
+    return JsonClient(host, port, peer, timeout_s=timeout_s, size=size)
--- /dev/null
+++ b/quetzalwall/connection/nodelay.py
@@ -0,0 +1,63 @@
+"""Disable Nagle's algorithm on every socket of the system.
+
+With it, a small request that is written in two pieces waits for the delayed
+acknowledgement of the first, about 40 ms. Both sides take their sockets from here.
+"""
+
+import select
+
+import gevent.socket
+from gevent.pywsgi import WSGIServer
+from geventhttpclient.connectionpool import ConnectionPool
+
+__all__ = ["NoDelayPool", "NoDelayServer", "set_nodelay"]
+
+
+def set_nodelay(sock):
+    """Set TCP_NODELAY on a socket.
+
+    Parameters
+    ----------
+    sock : gevent.socket.socket
+        A TCP socket.
+    """
+    sock.setsockopt(gevent.socket.IPPROTO_TCP, gevent.socket.TCP_NODELAY, 1)
+
+
+class NoDelayPool(ConnectionPool):
+    """Connection pool whose sockets have TCP_NODELAY set."""
+
+    def after_connect(self, sock):
+        """Set TCP_NODELAY once a socket is connected.
+
+        Parameters
+        ----------
+        sock : gevent.socket.socket
+            The connected socket.
+        """
+        set_nodelay(sock)
+
+    def _is_socket_alive(self, sock):
+        # The library's check uses select(2), which fails from descriptor 1024 on.
+        if sock is None or sock.fileno() < 0:
+            return False
+        poller = select.poll()
+        poller.register(sock.fileno(), select.POLLIN)
+        return not poller.poll(0)
+
+
+class NoDelayServer(WSGIServer):
+    """WSGI server whose accepted sockets have TCP_NODELAY set."""
+
+    def handle(self, sock, address):
+        """Serve one accepted connection.
+
+        Parameters
+        ----------
+        sock : gevent.socket.socket
+            The accepted socket.
+        address : tuple
+            Address of the peer.
+        """
+        set_nodelay(sock)
+        super().handle(sock, address)
--- /dev/null
+++ b/quetzalwall/exceptions.py
@@ -0,0 +1,119 @@
+"""Exceptions of quetzalwall.
+
+Every exception carries the step at which it arose and the peer that was involved,
+so that a log line or an answer to a caller can name both.
+"""
+
+__all__ = [
+    "CallerError",
+    "EndpointError",
+    "IncompleteAnswer",
+    "NotRun",
+    "OutcomeUnknown",
+    "PeerError",
+    "QuetzalwallError",
+    "SettingsConflict",
+    "SettingsError",
+    "StoreError",
+    "StoreUnavailable",
+]
+
+
+class QuetzalwallError(Exception):
+    """Base class of all exceptions raised by quetzalwall.
+
+    Parameters
+    ----------
+    message : str
+        What went wrong, in one sentence.
+    step : str, default=""
+        The step at which the error arose, for example ``"connect"``.
+    peer : str, default=""
+        The peer involved: an endpoint, an instance or a platform service.
+    """
+
+    def __init__(self, message, step="", peer=""):
+        super().__init__(message)
+        self.message = message
+        self.step = step
+        self.peer = peer
+
+
+class SettingsError(QuetzalwallError):
+    """Settings are invalid.
+
+    Parameters
+    ----------
+    message : str
+        Summary of the faults.
+    faults : sequence of quetzalwall.version.check.Fault, default=()
+        Every fault found, each with file, path and value.
+    """
+
+    def __init__(self, message, faults=(), step="check settings", peer=""):
+        super().__init__(message, step=step, peer=peer)
+        self.faults = tuple(faults)
+
+
+class SettingsConflict(QuetzalwallError):
+    """A subtree changed since the version that a change was made from.
+
+    Parameters
+    ----------
+    message : str
+        Summary with both versions.
+    base : int
+        Version of the subtree that the change was made from.
+    current : int
+        Version of the subtree now in the store.
+    subtree : dict
+        The subtree now in the store.
+    """
+
+    def __init__(self, message, base, current, subtree, peer=""):
+        super().__init__(message, step="put settings", peer=peer)
+        self.base = base
+        self.current = current
+        self.subtree = subtree
+
+
+class StoreError(QuetzalwallError):
+    """The table service or the object store refused a request."""
+
+
+class StoreUnavailable(StoreError):
+    """No answer came from the store; a write may have taken effect."""
+
+
+class PeerError(QuetzalwallError):
+    """A message to another instance failed or its answer was invalid."""
+
+
+class CallerError(QuetzalwallError):
+    """The caller closed its connection or sent a malformed body."""
+
+
+class EndpointError(QuetzalwallError):
+    """Base class of failures between this instance and an endpoint."""
+
+
+class NotRun(EndpointError):
+    """The request was not run: nothing was sent, or the endpoint said so.
+
+    Parameters
+    ----------
+    retry_after_s : float, default=1.0
+        Seconds after which the caller may try again.
+    """
+
+    def __init__(self, message, step="", peer="", retry_after_s=1.0):
+        super().__init__(message, step=step, peer=peer)
+        self.retry_after_s = retry_after_s
+
+
+class OutcomeUnknown(EndpointError):
+    """Bytes of the request left this instance and no answer arrived."""
+
+
+class IncompleteAnswer(EndpointError):
+    """An answer began and ended before its declared end."""
--- /dev/null
+++ b/quetzalwall/process/holders.py
@@ -0,0 +1,419 @@
+"""Who holds each instance's share, and for how long this instance may use its own.
+
+A share has one holder at any time. The record of holders, and of the processes that
+run, is one row of the platform's table. When an instance is dead, its heir, the next
+instance of its region, and no other, may write itself as the holder; it uses the share
+only after every right that the dead instance had granted or held has run out.
+
+An instance may use its own share while its lease lasts. The lease is renewed by a read
+of the row, or by a vouch of the heir, "I have not taken it over", counted from the
+moment at which the question was sent. So the lease also lasts while the table is down,
+and ends by itself when the instance is paused or cut off. `docs/design/shares.md`
+gives the argument that two processes never use one share.
+"""
+
+from quetzalwall.process.ledger import CLOCK_RATE_MARGIN, LOAN_MARGIN_S
+from quetzalwall.process.ring import ring_order, successors
+
+__all__ = [
+    "HOLDERS_KEY",
+    "LEASE_S",
+    "RESERVE_S",
+    "Holders",
+    "create_holders",
+    "loan_ttl_s",
+    "wait_after_s",
+]
+
+HOLDERS_KEY = "shares/holders"
+LEASE_S = 3.0
+RESERVE_S = 7200.0  # after the lease, in which the reserve may still be used
+LOAN_BEYOND_HOLD_S = 4.0
+NEVER = float("-inf")
+
+
+def loan_ttl_s(hold_s):
+    """Return how long a loan of a unit lasts.
+
+    Parameters
+    ----------
+    hold_s : float
+        Longest time for which work may hold the unit.
+
+    Returns
+    -------
+    float
+        Seconds; longer than the work, so that the loan can be extended in time.
+    """
+    return hold_s + LOAN_BEYOND_HOLD_S
+
+
+def wait_after_s(hold_s):
+    """Return how long to wait before using a unit that another may have held.
+
+    Parameters
+    ----------
+    hold_s : float
+        Longest time for which work may hold the unit.
+
+    Returns
+    -------
+    float
+        Seconds that cover the lease of the heir that vouched, the lease that it
+        vouched for, and the loans granted under that.
+    """
+    rights_s = 2 * LEASE_S + loan_ttl_s(hold_s)
+    return rights_s * (1 + 2 * CLOCK_RATE_MARGIN) + 2 * LOAN_MARGIN_S
+
+
+class Holders:
+    """The record of holders as one process knows it.
+
+    Parameters
+    ----------
+    instance : str
+        Name of this instance.
+    incarnation : int
+        Names this process among all processes of the instance.
+    roster : dict of str to dict
+        All instances, with ``region`` and ``domain``.
+
+    Attributes
+    ----------
+    version : int
+        Version of the row last read.
+    record : dict of str to str
+        Instance to holder, for shares that another holds.
+    running : dict of str to int
+        Instance to incarnation of the process that registered last.
+    usable_from : dict of str to float
+        Share held to the moment from which earlier rights run out.
+    lease_until : float
+        Monotonic seconds.
+    unclean : bool
+        Whether an earlier process of this instance may have left rights behind.
+    """
+
+    def __init__(self, instance, incarnation, roster):
+        self.instance = instance
+        self.incarnation = incarnation
+        self.version = 0
+        self.record = {}
+        self.running = {}
+        self.usable_from = {}
+        self.lease_until = NEVER
+        self.unclean = True
+        self._confirmed_at = None
+        self._taking = set()
+        self.set_roster(roster)
+
+    def set_roster(self, roster):
+        """Take over the instances of another version of the configuration.
+
+        Parameters
+        ----------
+        roster : dict of str to dict
+            Instance to settings with ``region`` and ``domain``.
+        """
+        regions = {}
+        for name, spec in roster.items():
+            regions.setdefault(spec["region"], {})[name] = spec
+        self._rings = {}
+        for members in regions.values():
+            order = ring_order(members)
+            self._rings.update(dict.fromkeys(order, order))
+
+    def learn(self, version, value, asked_at, now):
+        """Take in the row as read from the table.
+
+        Parameters
+        ----------
+        version : int
+            Version of the row.
+        value : dict or None
+            Its value.
+        asked_at : float
+            Monotonic seconds at which the read was sent.
+        now : float
+            Monotonic seconds at which its answer arrived.
+
+        Returns
+        -------
+        bool
+            Whether the record changed.
+        """
+        if version < self.version:
+            return False
+        changed = version > self.version
+        self.version = version
+        self.record = dict((value or {}).get("holders", {}))
+        self.running = dict((value or {}).get("running", {}))
+        self._taking.clear()
+        self._update_held(now)
+        if not self.registered():
+            self.lease_until = NEVER
+        elif self.holds_own():
+            self.lease_until = max(self.lease_until, asked_at + LEASE_S)
+            if self.heir_of(self.instance) is None:
+                self._confirm(now)
+        return changed
+
+    def registered(self):
+        """Return whether this process is the one on record for its instance.
+
+        Returns
+        -------
+        bool
+        """
+        return self.running.get(self.instance) == self.incarnation
+
+    def superseded(self):
+        """Return whether a later process of this instance has registered.
+
+        Returns
+        -------
+        bool
+        """
+        return self.running.get(self.instance, 0) > self.incarnation
+
+    def holder_of(self, name):
+        """Return who holds an instance's share.
+
+        Parameters
+        ----------
+        name : str
+            The instance.
+
+        Returns
+        -------
+        str
+        """
+        return self.record.get(name, name)
+
+    def holds_own(self):
+        """Return whether this instance holds its own share.
+
+        Returns
+        -------
+        bool
+        """
+        return self.holder_of(self.instance) == self.instance
+
+    def held_shares(self):
+        """Return the instances whose shares this one holds.
+
+        Returns
+        -------
+        list of str
+        """
+        ring = self._rings.get(self.instance, [])
+        return [name for name in ring if self.holder_of(name) == self.instance]
+
+    def heir_of(self, name):
+        """Return the one instance that may take over a share.
+
+        Parameters
+        ----------
+        name : str
+            The holder of the share.
+
+        Returns
+        -------
+        str or None
+            The next instance of its region that runs and holds its own share.
+        """
+        found = successors(self._rings.get(name, []), name, 1, self._in_place)
+        return found[0] if found else None
+
+    def may_vouch(self, name, incarnation, now):
+        """Return whether this instance can say that a share was not taken over.
+
+        Parameters
+        ----------
+        name : str
+            The instance that asks.
+        incarnation : int
+            Its process.
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        bool
+        """
+        return (
+            self.running.get(name) == incarnation
+            and self._in_place(name)
+            and name not in self._taking
+            and self.heir_of(name) == self.instance
+            and now < self.lease_until
+        )
+
+    def vouched(self, asked_at, now):
+        """Renew the lease after a vouch of the heir.
+
+        Parameters
+        ----------
+        asked_at : float
+            Monotonic seconds at which the question was sent.
+        now : float
+            Monotonic seconds at which the vouch arrived.
+        """
+        if self.registered() and self.holds_own():
+            self.lease_until = max(self.lease_until, asked_at + LEASE_S)
+            self._confirm(now)
+
+    def register(self):
+        """Return the row in which this process is on record.
+
+        Returns
+        -------
+        dict
+        """
+        self.unclean = self.instance in self.running
+        return self._row(running={**self.running, self.instance: self.incarnation})
+
+    def unregister(self):
+        """Return the row that says that nothing of this process is left.
+
+        Returns
+        -------
+        dict
+        """
+        return self._row(running=_without(self.running, self.instance))
+
+    def take_over(self, dead, now):
+        """Return the row that makes this instance the holder of a dead one's shares.
+
+        Parameters
+        ----------
+        dead : str
+            The instance found dead.
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        dict or None
+            None if this instance may not, or not yet.
+        """
+        if self.heir_of(dead) != self.instance or now >= self.lease_until:
+            return None
+        if self.holder_of(dead) != dead or self._settling(now):
+            return None
+        # From here on no vouch may reach the dead instance, should it come back.
+        self._taking.add(dead)
+        ring = self._rings[dead]
+        taken = [name for name in ring if self.holder_of(name) == dead]
+        return self._row(holders=self.record | dict.fromkeys(taken, self.instance))
+
+    def give_back(self, name):
+        """Return the row that gives a share back to its owner.
+
+        Parameters
+        ----------
+        name : str
+            The owner.
+
+        Returns
+        -------
+        dict
+        """
+        return self._row(holders=_without(self.record, name))
+
+    def usable(self, name, hold_s, now):
+        """Return whether the units of a held share may be used yet.
+
+        Parameters
+        ----------
+        name : str
+            Owner of the share.
+        hold_s : float
+            Longest time for which work holds a unit.
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        bool
+        """
+        if name == self.instance and not self.unclean:
+            return self.registered()
+        since = self._since(name)
+        return since is not None and now >= since + wait_after_s(hold_s)
+
+    def reserve_usable(self, hold_s, now):
+        """Return whether the reserve of this instance's own share may be used.
+
+        Parameters
+        ----------
+        hold_s : float
+            Longest time for which work holds a unit.
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        bool
+            False for long after an unclean start, since the process before may live
+            on, cut off from everybody, and use it.
+        """
+        if not self.unclean:
+            return now < self.lease_until + RESERVE_S
+        since = self._since(self.instance)
+        later_s = RESERVE_S * (1 + 2 * CLOCK_RATE_MARGIN) + wait_after_s(hold_s)
+        return since is not None and now >= since + later_s
+
+    def _since(self, name):
+        return self._confirmed_at if name == self.instance else self.usable_from[name]
+
+    def _confirm(self, now):
+        if self._confirmed_at is None:
+            self._confirmed_at = now
+
+    def _in_place(self, name):
+        return name in self.running and self.holder_of(name) == name
+
+    def _row(self, holders=None, running=None):
+        return {
+            "holders": self.record if holders is None else holders,
+            "running": self.running if running is None else running,
+        }
+
+    def _update_held(self, now):
+        held = set(self.held_shares()) - {self.instance}
+        for name in set(self.usable_from) - held:
+            del self.usable_from[name]
+        for name in held - set(self.usable_from):
+            self.usable_from[name] = now
+
+    def _settling(self, now):
+        """Return whether a take-over is too recent to make another.
+
+        The holder before may still vouch for its predecessor until its lease ends.
+        """
+        lease_s = LEASE_S * (1 + 2 * CLOCK_RATE_MARGIN) + LOAN_MARGIN_S
+        return any(now < since + lease_s for since in self.usable_from.values())
+
+
+def _without(mapping, name):
+    return {key: value for key, value in mapping.items() if key != name}
+
+
+def create_holders(instance, incarnation, roster):
+    """Return the record of a process that has just started.
+
+    Parameters
+    ----------
+    instance : str
+        Name of the instance.
+    incarnation : int
+        Names the process among all processes of the instance.
+    roster : dict of str to dict
+        All instances, with ``region`` and ``domain``.
+
+    Returns
+    -------
+    Holders
+    """
+    return Holders(instance, incarnation, roster)
--- /dev/null
+++ b/quetzalwall/process/lending.py
@@ -0,0 +1,210 @@
+"""Which units to borrow from peers, to lend to them, and to return.
+
+A loan follows demand: an instance asks when requests wait or few slots are free, and
+the peer lends what it has not needed lately.
+"""
+
+import math
+from typing import NamedTuple
+
+from quetzalwall.process.service_state import group_name
+from quetzalwall.version.shares import LONG, SHORT
+
+__all__ = ["Wish", "headroom_units", "loans_to_return", "units_to_lend", "wishes"]
+
+HEADROOM_FRACTION = 0.2  # of the units in use, kept free for the next requests
+KEEP_FRACTION = 0.2  # of the lender's recent peak, kept beyond it
+
+
+class Wish(NamedTuple):
+    """Units that an instance wants to borrow.
+
+    Attributes
+    ----------
+    service : str
+        Service whose endpoints are wanted.
+    kind : {"short", "long"}
+        Kind of slot.
+    region : str
+        Region of the endpoints.
+    count : int
+        Units at most.
+    """
+
+    service: str
+    kind: str
+    region: str
+    count: int
+
+
+def wishes(steering, now):
+    """Return what this instance wants to borrow now.
+
+    Parameters
+    ----------
+    steering : Steering
+        Decisions of this instance.
+    now : float
+        Monotonic seconds.
+
+    Returns
+    -------
+    list of Wish
+        In the order of preference: the own region first.
+    """
+    found = []
+    for service in steering.services.values():
+        for kind in (SHORT, LONG):
+            missing = _missing(steering, service, kind, now)
+            if missing > 0:
+                found += [
+                    Wish(service.name, kind, region, missing)
+                    for region in steering.regions
+                ]
+        found += _shift_wishes(steering, service, now)
+    return found
+
+
+def units_to_lend(steering, wish, now):
+    """Return the units that this instance would lend.
+
+    Parameters
+    ----------
+    steering : Steering
+        Decisions of this instance.
+    wish : Wish
+        What the peer wants.
+    now : float
+        Monotonic seconds.
+
+    Returns
+    -------
+    dict of str to int
+        Key to units; empty if none are spare.
+    """
+    service = steering.services.get(wish.service)
+    if service is None or wish.kind not in service.lines:
+        return {}
+    ledger = steering.ledger
+    keys = service.keys(wish.kind, wish.region)
+    spare = {
+        key: ledger.owned(key, now) - ledger.lent_units(key) - ledger.used.get(key, 0)
+        for key in keys
+        if _endpoint(key) not in steering.leaving
+    }
+    spare = {key: units for key, units in spare.items() if units > 0}
+    keep = _units_to_keep(steering, service, wish)
+    count = min(wish.count, sum(spare.values()) - keep)
+    return _spread(spare, count)
+
+
+def loans_to_return(steering, now):
+    """Return the borrowed loans that are not needed any more.
+
+    Parameters
+    ----------
+    steering : Steering
+        Decisions of this instance.
+    now : float
+        Monotonic seconds.
+
+    Returns
+    -------
+    list of str
+        Identifiers of loans.
+    """
+    found = []
+    for service in steering.services.values():
+        for kind in (SHORT, LONG):
+            if len(service.lines[kind]):
+                continue
+            keys = set(service.keys(kind))
+            free = _free(steering, service, kind, now)
+            spare = free - 2 * headroom_units(steering, service, kind) - 1
+            for loan in sorted(steering.ledger.borrowed.values()):
+                size = sum(loan.units.values())
+                if keys.issuperset(loan.units) and size <= spare:
+                    spare -= size
+                    found.append(loan.loan_id)
+    return found
+
+
+def headroom_units(steering, service, kind):
+    """Return the free units that an instance wants to have at hand.
+
+    Parameters
+    ----------
+    steering : Steering
+        Decisions of this instance.
+    service : ServiceState
+        The service.
+    kind : {"short", "long"}
+        Kind of slot.
+
+    Returns
+    -------
+    int
+    """
+    used = _used(steering, service, kind)
+    return math.ceil(HEADROOM_FRACTION * used) if used else 0
+
+
+def _missing(steering, service, kind, now):
+    waiting = len(service.lines[kind])
+    wanted = waiting + headroom_units(steering, service, kind)
+    return wanted - _free(steering, service, kind, now) if wanted else 0
+
+
+def _shift_wishes(steering, service, now):
+    found = []
+    for progress in steering.shifts.values():
+        spec = progress.spec
+        if spec["service"] != service.name or spec["from"] != steering.region:
+            continue
+        if not progress.running() or not progress.fraction:
+            continue
+        used = _used(steering, service, SHORT)
+        wanted = math.ceil(progress.fraction * used) + 1
+        group = group_name(service.name, spec["to"], SHORT)
+        free = len(steering.ledger.free_keys(group))
+        if free < wanted:
+            found.append(Wish(service.name, SHORT, spec["to"], wanted - free))
+    return found
+
+
+def _units_to_keep(steering, service, wish):
+    """Return the units that the lender keeps free for itself."""
+    peak = service.peak_used[wish.kind]
+    used = _used(steering, service, wish.kind)
+    waiting = len(service.lines[wish.kind])
+    return max(0, math.ceil((1 + KEEP_FRACTION) * peak) - used) + waiting
+
+
+def _spread(spare, count):
+    """Return up to ``count`` units, from the keys with the most to spare."""
+    units = {}
+    left = dict(spare)
+    while count > 0 and left:
+        key = max(left, key=lambda name: (left[name], name))
+        units[key] = units.get(key, 0) + 1
+        left[key] -= 1
+        if not left[key]:
+            del left[key]
+        count -= 1
+    return units
+
+
+def _used(steering, service, kind):
+    return sum(steering.ledger.used.get(key, 0) for key in service.keys(kind))
+
+
+def _free(steering, service, kind, now):
+    return sum(
+        steering.ledger.free(key, now)
+        for key in service.keys(kind)
+        if _endpoint(key) not in steering.leaving
+    )
+
+
+def _endpoint(key):
+    return key.rsplit("/", 1)[0]
--- /dev/null
+++ b/quetzalwall/process/operators.py
@@ -0,0 +1,160 @@
+"""What operators ask an entry instance for: settings and their changes."""
+
+import hashlib
+import hmac
+
+import gevent
+
+from quetzalwall.exceptions import SettingsConflict, SettingsError, StoreUnavailable
+from quetzalwall.logs import get_logger, log_event
+from quetzalwall.version.settings_store import history, put_subtree
+
+__all__ = ["Operators", "create_operators"]
+
+LOG = get_logger("operators")
+
+
+class Operators:
+    """Commands of operators on one instance.
+
+    Parameters
+    ----------
+    node : Node
+        State of the instance.
+    table : TableClient
+        The table service.
+    """
+
+    def __init__(self, node, table):
+        self._node = node
+        self._table = table
+
+    def show(self):
+        """Return the settings held by this instance.
+
+        Returns
+        -------
+        dict
+            With ``version``, ``teams`` (versions), ``tree`` and ``in_force``.
+        """
+        held = self._node.keeper.held
+        return {
+            "version": held.version,
+            "teams": held.team_versions,
+            "tree": _without_credentials(held.tree),
+            "in_force": self._node.keeper.in_force_version(),
+        }
+
+    def put(self, body, credential):
+        """Replace a team's subtree.
+
+        Parameters
+        ----------
+        body : object
+            With ``team``, ``subtree``, ``base`` and ``author``.
+        credential : str
+            The team's credential.
+
+        Returns
+        -------
+        tuple of int and dict
+            HTTP status and the answer.
+        """
+        problem = _body_problem(body)
+        if problem:
+            return 400, {"message": problem}
+        team = body["team"]
+        if not self._allowed(team, credential):
+            log_event(LOG, "refused", "warning", team=team, reason="credential")
+            return 403, {"message": f"credential is not that of team {team}"}
+        try:
+            version = put_subtree(
+                self._table,
+                team,
+                self._keep_credentials(team, body["subtree"]),
+                body["base"],
+                body["author"],
+                wall=self._node.clock.wall,
+                pause=gevent.sleep,
+            )
+        except SettingsConflict as exc:
+            return 409, _conflict_answer(exc)
+        except SettingsError as exc:
+            return 422, {
+                "message": exc.message,
+                "faults": [list(f) for f in exc.faults],
+            }
+        except StoreUnavailable as exc:
+            return 503, {"message": exc.message, "accepted": "unknown"}
+        log_event(LOG, "accepted", team=team, version=version, author=body["author"])
+        return 200, {"version": version, "accepted": "yes"}
+
+    def history(self):
+        """Return the latest changes.
+
+        Returns
+        -------
+        tuple of int and dict
+            HTTP status and the answer.
+        """
+        try:
+            return 200, {"changes": history(self._table)}
+        except StoreUnavailable as exc:
+            return 503, {"message": exc.message}
+
+    def _allowed(self, team, credential):
+        known = self._node.cfg()["credentials"].get(team)
+        if known is None:
+            return False
+        digest = hashlib.sha256(credential.encode()).hexdigest()
+        return hmac.compare_digest(digest, known)
+
+    def _keep_credentials(self, team, subtree):
+        """Return a subtree with its hidden credentials, which `show` leaves out."""
+        old = self._node.keeper.held.tree.get(team, {})
+        if "credentials" in subtree or "credentials" not in old:
+            return subtree
+        return {**subtree, "credentials": old["credentials"]}
+
+
+def _without_credentials(tree):
+    return {
+        team: {name: value for name, value in subtree.items() if name != "credentials"}
+        for team, subtree in tree.items()
+    }
+
+
+def _conflict_answer(exc):
+    return {
+        "message": exc.message,
+        "base": exc.base,
+        "current": exc.current,
+        "subtree": _without_credentials({"": exc.subtree})[""],
+    }
+
+
+def _body_problem(body):
+    if not isinstance(body, dict):
+        return "body must be an object"
+    kinds = {"team": str, "subtree": dict, "base": int, "author": str}
+    for name, kind in kinds.items():
+        if not isinstance(body.get(name), kind):
+            return f"{name} must be given as {kind.__name__}"
+    return None
+
+
+def create_operators(node, table):
+    """Return the commands of an instance.
+
+    Parameters
+    ----------
+    node : Node
+        State of the instance.
+    table : TableClient
+        The table service.
+
+    Returns
+    -------
+    Operators
+    """
+    return Operators(node, table)
--- /dev/null
+++ b/quetzalwall/process/tasks.py
@@ -0,0 +1,46 @@
+"""Tasks that run for the life of the process."""
+
+import traceback
+
+import gevent
+
+from quetzalwall.logs import get_logger, log_event
+
+__all__ = ["repeat"]
+
+LOG = get_logger("tasks")
+LOGGED_LINES = 3
+
+
+def repeat(step, pause_s):
+    """Start a task that runs a step again and again.
+
+    Parameters
+    ----------
+    step : callable
+        One round; an exception that it raises is logged and does not end the task.
+    pause_s : float or callable returning float
+        Seconds between two rounds.
+
+    Returns
+    -------
+    gevent.Greenlet
+    """
+    return gevent.spawn(_run, step, pause_s)
+
+
+def _run(step, pause_s):
+    while True:
+        try:
+            step()
+        except Exception as exc:
+            trace = traceback.format_exc().splitlines()
+            log_event(
+                LOG,
+                "failed",
+                "error",
+                task=getattr(step, "__qualname__", str(step)),
+                reason=repr(exc),
+                trace=" | ".join(line.strip() for line in trace[-LOGGED_LINES:]),
+            )
+        gevent.sleep(pause_s() if callable(pause_s) else pause_s)
--- /dev/null
+++ b/quetzalwall/request/__init__.py
@@ -0,0 +1,1 @@
+"""What lives as long as one request, and the choices made for it."""
--- /dev/null
+++ b/quetzalwall/version/settings_store.py
@@ -0,0 +1,206 @@
+"""Accepted settings in the platform's table.
+
+One row holds the version over all teams and each team's version; one row a team holds
+its subtree; one row a change keeps the history. A change is one transaction, so that it
+is accepted whole or not at all.
+"""
+
+import time
+from uuid import uuid4
+
+from quetzalwall.exceptions import SettingsConflict, StoreUnavailable
+from quetzalwall.version.check import require_valid_tree
+from quetzalwall.version.tree import (
+    HEAD_KEY,
+    create_configuration,
+    diff_trees,
+    history_key,
+    team_key,
+)
+
+__all__ = ["history", "put_subtree", "read_configuration", "read_head"]
+
+MOST_TRIES = 20
+RETRY_PAUSE_S = 0.1
+EMPTY_HEAD = {"version": 0, "teams": {}, "token": ""}
+
+
+def read_head(table):
+    """Return the version row.
+
+    Parameters
+    ----------
+    table : TableClient
+        The table service.
+
+    Returns
+    -------
+    dict
+        With ``version``, ``teams`` and ``token``.
+
+    Raises
+    ------
+    StoreUnavailable
+        No answer arrived.
+    """
+    return table.read([HEAD_KEY])[HEAD_KEY].value or EMPTY_HEAD
+
+
+def read_configuration(table):
+    """Return the accepted configuration.
+
+    Parameters
+    ----------
+    table : TableClient
+        The table service.
+
+    Returns
+    -------
+    Configuration
+
+    Raises
+    ------
+    StoreUnavailable
+        No answer arrived, or changes came too fast to read one version.
+    """
+    _, head, tree = _read_consistent(table)
+    return create_configuration(head["version"], head["teams"], tree)
+
+
+def put_subtree(table, team, subtree, base, author, wall=time.time, pause=time.sleep):
+    """Replace a team's subtree.
+
+    Parameters
+    ----------
+    table : TableClient
+        The table service.
+    team : str
+        The team.
+    subtree : dict
+        Its new subtree.
+    base : int
+        Version of the subtree that the change was made from.
+    author : str
+        Recorded in the history.
+    wall : callable, default=time.time
+        Seconds since the epoch, recorded in the history.
+    pause : callable, default=time.sleep
+        Waits between tries.
+
+    Returns
+    -------
+    int
+        Version of the configuration that holds the change.
+
+    Raises
+    ------
+    SettingsConflict
+        The subtree changed since ``base``.
+    SettingsError
+        The tree would have faults.
+    StoreUnavailable
+        No answer arrived; the change may have been accepted.
+    """
+    token = uuid4().hex
+    first_version = None
+    last_error = None
+    for _ in range(MOST_TRIES):
+        try:
+            head_row, head, tree = _read_consistent(table)
+            if first_version is None:
+                first_version = head["version"]
+            accepted = _accepted_version(table, token, first_version, head["version"])
+            if accepted is not None:
+                return accepted
+            change = _prepare(team, subtree, base, head, tree, token)
+            change["author"] = author
+            change["at"] = wall()
+            if _write(table, head_row, change):
+                return change["version"]
+        except StoreUnavailable as exc:
+            last_error = exc
+            pause(RETRY_PAUSE_S)
+    raise StoreUnavailable(
+        f"change {token} may have been accepted: {last_error or 'too many changes'}",
+        step="put settings",
+        peer="table",
+    )
+
+
+def history(table, limit=100):
+    """Return the latest changes, oldest first.
+
+    Parameters
+    ----------
+    table : TableClient
+        The table service.
+    limit : int, default=100
+        Changes at most.
+
+    Returns
+    -------
+    list of dict
+    """
+    newest = read_head(table)["version"]
+    keys = [history_key(v) for v in range(max(1, newest - limit + 1), newest + 1)]
+    rows = table.read(keys)
+    return [row.value for _, row in sorted(rows.items()) if row.value]
+
+
+def _read_consistent(table):
+    """Return the head row, its value and the subtrees that belong to it."""
+    for _ in range(MOST_TRIES):
+        head_row = table.read([HEAD_KEY])[HEAD_KEY]
+        head = head_row.value or EMPTY_HEAD
+        keys = {team: team_key(team) for team in head["teams"]}
+        rows = table.read([HEAD_KEY, *keys.values()])
+        if rows[HEAD_KEY].version == head_row.version:
+            return head_row, head, {t: rows[key].value for t, key in keys.items()}
+    raise StoreUnavailable("settings change too fast", "read settings", "table")
+
+
+def _accepted_version(table, token, first, newest):
+    """Return the version that a transaction of ours produced, if its reply was lost."""
+    keys = [history_key(version) for version in range(first + 1, newest + 1)]
+    if not keys:
+        return None
+    for row in table.read(keys).values():
+        if row.value and row.value["token"] == token:
+            return row.value["version"]
+    return None
+
+
+def _prepare(team, subtree, base, head, tree, token):
+    current = head["teams"].get(team, 0)
+    if current != base:
+        raise SettingsConflict(
+            f"settings of {team} are at version {current}, not {base}",
+            base=base,
+            current=current,
+            subtree=tree.get(team, {}),
+        )
+    changed = {**tree, team: subtree}
+    require_valid_tree(changed, file=f"settings of {team}")
+    return {
+        "version": head["version"] + 1,
+        "team": team,
+        "team_version": current + 1,
+        "teams": {**head["teams"], team: current + 1},
+        "subtree": subtree,
+        "token": token,
+        "diff": diff_trees(tree.get(team, {}), subtree, f"/{team}"),
+    }
+
+
+def _write(table, head_row, change):
+    version = change["version"]
+    head = {key: change[key] for key in ("version", "teams", "token")}
+    kept = {k: v for k, v in change.items() if k not in ("teams", "subtree")}
+    # The history row guards against a transaction of ours that takes effect late.
+    checks = {HEAD_KEY: head_row.version, history_key(version): 0}
+    writes = {
+        HEAD_KEY: head,
+        team_key(change["team"]): change["subtree"],
+        history_key(version): kept,
+    }
+    return table.txn(checks, writes).committed
--- /dev/null
+++ b/standins/endpoints.py
@@ -0,0 +1,276 @@
+"""Stand-in for endpoints: many of them in one process.
+
+Each endpoint has slots, a service time, a limit on connections, and behaviours that
+``POST /control`` on its own port sets: ``slow`` (factor), ``leaving``, ``cold`` (number
+of requests served at a third of the speed), ``shed`` (refuse all), ``fault`` (one of
+``cut``, ``twice``, ``late``, ``wrong-id``, ``no-length``, ``no-echo``, ``hang``), and
+``report`` (a false load report).
+"""
+
+import argparse
+import json
+import random
+
+import gevent
+import gevent.event
+import gevent.socket
+from gevent import signal_handler
+
+from quetzalwall.connection.http_server import (
+    HttpLimits,
+    QuietHandler,
+    create_server,
+    json_answer,
+    read_json,
+)
+
+__all__ = ["Endpoint", "create_endpoint_standin"]
+
+SOCKET_KEY = "standin.socket"
+BLOCK_BYTES = 64 * 1024
+COLD_FACTOR = 3.0
+NOT_RUN = [("X-Not-Run", "1")]
+
+
+class Endpoint:
+    """One endpoint.
+
+    Parameters
+    ----------
+    name : str
+        Name of the endpoint.
+    address : str
+        IP number to listen on.
+    port : int
+        TCP port to listen on; 0 takes a free one.
+    slots : int, default=3
+        Requests served at once.
+    service_s : float, default=0.02
+        Mean duration of a request.
+    seed : int, default=0
+        Seed of the durations.
+    """
+
+    def __init__(self, name, address, port, slots=3, service_s=0.02, seed=0):
+        self.name = name
+        self.slots = slots
+        self.service_s = service_s
+        self.behaviour = {
+            "slow": 1.0,
+            "leaving": False,
+            "cold": 0,
+            "shed": False,
+            "fault": "",
+            "report": None,
+        }
+        self.busy = 0
+        self.counts = {"served": 0, "shed": 0, "over_limit": 0, "most_busy": 0}
+        self.runs = {}
+        self.cancelled = 0
+        self._rng = random.Random(f"{name} {seed}")
+        limits = HttpLimits(connections=400)
+        self.server = create_server(
+            address, port, self._application, limits, handler=_SocketHandler
+        )
+
+    def start(self):
+        """Begin service."""
+        self.server.start()
+
+    def close(self):
+        """End service at once."""
+        self.server.stop(timeout=0)
+
+    def _application(self, environ, start_response):
+        path = environ["PATH_INFO"]
+        if path == "/control":
+            if environ["REQUEST_METHOD"] == "POST":
+                self.behaviour.update(read_json(environ))
+            return json_answer(start_response, 200, self._report())
+        if path == "/load":
+            report = self.behaviour["report"] or self._report()
+            return json_answer(start_response, 200, report)
+        return self._serve(environ, start_response)
+
+    def _report(self):
+        return {
+            "outstanding": self.busy,
+            "slots": self.slots,
+            "leaving": self.behaviour["leaving"],
+            "counts": self.counts,
+            "runs": self.runs,
+            "cancelled": self.cancelled,
+        }
+
+    def _serve(self, environ, start_response):
+        echo = [("X-Request-Id", environ.get("HTTP_X_REQUEST_ID", ""))]
+        if self.behaviour["shed"] or self.behaviour["leaving"]:
+            self.counts["shed"] += 1
+            return json_answer(start_response, 503, {}, echo + NOT_RUN)
+        if self.busy >= self.slots:
+            self.counts["over_limit"] += 1
+            return json_answer(start_response, 503, {}, echo + NOT_RUN)
+        self.busy += 1
+        self.counts["most_busy"] = max(self.counts["most_busy"], self.busy)
+        try:
+            size = self._read_body(environ)
+            self._work(environ)
+            self.counts["served"] += 1
+            body = {"endpoint": self.name, "bytes": size}
+            body["path"] = environ["PATH_INFO"]
+            return self._answer(environ, start_response, body, echo)
+        except (gevent.Timeout, _Cancelled):
+            self.cancelled += 1
+            return json_answer(start_response, 504, {}, echo)
+        finally:
+            self.busy -= 1
+
+    def _read_body(self, environ):
+        size = 0
+        while block := environ["wsgi.input"].read(BLOCK_BYTES):
+            size += len(block)
+        return size
+
+    def _work(self, environ):
+        key = environ.get("HTTP_IDEMPOTENCY_KEY")
+        if key:
+            self.runs[key] = self.runs.get(key, 0) + 1
+        duration_s = self._rng.expovariate(1 / self.service_s) * 0.5
+        duration_s += self.service_s * 0.5
+        duration_s *= self.behaviour["slow"]
+        if self.behaviour["cold"]:
+            self.behaviour["cold"] -= 1
+            duration_s *= COLD_FACTOR
+        deadline_ms = environ.get("HTTP_X_DEADLINE_MS", "60000")
+        with gevent.Timeout(max(0.001, int(deadline_ms) / 1000)):
+            _sleep_unless_closed(environ[SOCKET_KEY], duration_s)
+
+    def _answer(self, environ, start_response, body, echo):
+        fault = self.behaviour["fault"]
+        if fault == "hang":
+            gevent.sleep(3600)
+        if fault == "wrong-id":
+            echo = [("X-Request-Id", "of-another-request")]
+        if fault == "no-echo":
+            echo = []
+        if fault == "no-length":
+            start_response("200 OK", [*echo, ("Connection", "close")])
+            return _NoLength([json.dumps(body).encode()])
+        if environ["PATH_INFO"].startswith("/large"):
+            return self._large_answer(environ, start_response, echo, fault)
+        if fault == "cut":
+            raw = json.dumps(body).encode()
+            headers = [("Content-Length", str(len(raw) + 10)), *echo]
+            start_response("200 OK", headers)
+            return _Cut([raw])
+        return json_answer(start_response, 200, body, echo)
+
+    def _large_answer(self, environ, start_response, echo, fault):
+        blocks = int(environ["PATH_INFO"].rsplit("/", 1)[1])
+        body = [bytes([65 + n % 26]) * BLOCK_BYTES for n in range(blocks)]
+        headers = list(echo)
+        if not environ["PATH_INFO"].startswith("/large-chunked"):
+            headers.append(("Content-Length", str(blocks * BLOCK_BYTES)))
+        start_response("200 OK", headers)
+        if fault == "cut":
+            return _Cut(body[: blocks // 2])
+        return iter(body)
+
+
+class _Cancelled(Exception):
+    """The caller closed the connection while its request was served."""
+
+
+class _SocketHandler(QuietHandler):
+    """Handler that lets the application see its connection."""
+
+    def get_environ(self):
+        return super().get_environ() | {SOCKET_KEY: self.socket}
+
+
+def _sleep_unless_closed(sock, seconds):
+    try:
+        gevent.socket.wait_read(sock.fileno(), timeout=seconds)
+    except TimeoutError:
+        return
+    if not sock.recv(1, gevent.socket.MSG_PEEK):
+        raise _Cancelled
+
+
+class _Cut:
+    """Body after which the connection closes."""
+
+    def __init__(self, blocks):
+        self._blocks = iter(blocks)
+
+    def __iter__(self):
+        return self
+
+    def __next__(self):
+        for block in self._blocks:
+            return block
+        raise ConnectionResetError(104, "cut")
+
+
+class _NoLength:
+    """Body whose end is the end of the connection."""
+
+    def __init__(self, blocks):
+        self._blocks = iter(blocks)
+
+    def __iter__(self):
+        return self._blocks
+
+
+def create_endpoint_standin(name, address="127.0.0.1", port=0, **options):
+    """Return an endpoint that is not yet started.
+
+    Parameters
+    ----------
+    name : str
+        Name of the endpoint.
+    address : str, default="127.0.0.1"
+        IP number to listen on.
+    port : int, default=0
+        TCP port to listen on; 0 takes a free one.
+    **options
+        Further parameters of `Endpoint`.
+
+    Returns
+    -------
+    Endpoint
+    """
+    return Endpoint(name, address, port, **options)
+
+
+def main():
+    """Run all endpoints of a settings tree until terminated."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--tree", required=True, help="settings tree")
+    parser.add_argument("--service-ms", type=float, default=20.0)
+    parser.add_argument("--seed", type=int, default=0)
+    args = parser.parse_args()
+    with open(args.tree, encoding="utf-8") as file:
+        tree = json.load(file)
+    endpoints = [
+        create_endpoint_standin(
+            name,
+            spec["address"],
+            spec["port"],
+            slots=spec["slots"],
+            service_s=args.service_ms / 1000,
+            seed=args.seed,
+        )
+        for subtree in tree.values()
+        for service in subtree.get("services", {}).values()
+        for name, spec in service["endpoints"].items()
+    ]
+    for endpoint in endpoints:
+        endpoint.start()
+    stop = gevent.event.Event()
+    signal_handler(15, stop.set)
+    stop.wait()
+
+
+if __name__ == "__main__":
+    main()
