Keep units borrowed for a shift's destination

Cause: a loan for the destination of a shift was returned at once, since slots in the own region were free, so the shift never moved a request.

--- a/quetzalwall/process/lending.py
+++ b/quetzalwall/process/lending.py
@@ -118,7 +118,9 @@
         for kind in (SHORT, LONG):
             if len(service.lines[kind]):
                 continue
-            keys = set(service.keys(kind))
+            # A shift's destination is used a little at a time: keep what serves it.
+            kept = _shift_regions(steering, service)
+            keys = {k for k in service.keys(kind) if service.region_of(k) not in kept}
             free = _free(steering, service, kind, now)
             spare = free - 2 * headroom_units(steering, service, kind) - 1
             for loan in sorted(steering.ledger.borrowed.values()):
@@ -157,21 +159,28 @@
 
 def _shift_wishes(steering, service, now):
     found = []
-    for progress in steering.shifts.values():
-        spec = progress.spec
-        if spec["service"] != service.name or spec["from"] != steering.region:
-            continue
-        if not progress.running() or not progress.fraction:
-            continue
+    for region, fraction in _shift_regions(steering, service).items():
         used = _used(steering, service, SHORT)
-        wanted = math.ceil(progress.fraction * used) + 1
-        group = group_name(service.name, spec["to"], SHORT)
+        wanted = math.ceil(fraction * used) + 1
+        group = group_name(service.name, region, SHORT)
         free = len(steering.ledger.free_keys(group))
         if free < wanted:
-            found.append(Wish(service.name, SHORT, spec["to"], wanted - free))
+            found.append(Wish(service.name, SHORT, region, wanted - free))
     return found
 
 
+def _shift_regions(steering, service):
+    """Return the regions that shifts move this service's work to, with fractions."""
+    return {
+        progress.spec["to"]: progress.fraction
+        for progress in steering.shifts.values()
+        if progress.spec["service"] == service.name
+        and progress.spec["from"] == steering.region
+        and progress.running()
+        and progress.fraction
+    }
+
+
 def _units_to_keep(steering, service, wish):
     """Return the units that the lender keeps free for itself."""
     peak = service.peak_used[wish.kind]
