--- a/quetzalwall/__main__.py
+++ b/quetzalwall/__main__.py
@@ -4,4 +4,5 @@
 
 from quetzalwall.cli.main import main
 
-sys.exit(main())
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/quetzalwall/connection/tests/test_single_attempt.py
@@ -0,0 +1,182 @@
+import gevent
+import gevent.socket
+
+from quetzalwall.connection.nodelay import NoDelayServer
+from quetzalwall.connection.single_attempt import SentRequest, create_client
+from quetzalwall.exceptions import NotRun, OutcomeUnknown
+from quetzalwall.tests.fixtures import (
+    echo_of,
+    free_port,
+    read_request,
+    scripted_server,
+)
+
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\nX-Request-Id: %b\r\n\r\n%b"
+
+
+def answer(head, body):
+    return ANSWER % (len(body), echo_of(head).encode(), body)
+
+
+def get(client, request_id, timeout_s=1.0):
+    req = SentRequest("GET", "/x", {}, request_id=request_id)
+    return client.send(req, timeout_s)
+
+
+def raises(kind, function, *args):
+    try:
+        function(*args)
+    except kind as exc:
+        return exc
+    raise AssertionError(f"{kind.__name__} was not raised")
+
+
+def test_request_is_not_sent_again_when_the_connection_closes():
+    heads = []
+
+    def handle(sock):
+        heads.append(read_request(sock))
+
+    with scripted_server(handle) as port:
+        client = create_client("127.0.0.1", port, "ep", size=4)
+        exc = raises(OutcomeUnknown, get, client, "r1")
+    assert len(heads) == 1
+    assert (exc.step, exc.peer) == ("read head", "ep")
+
+
+def test_refused_connection_means_not_run():
+    client = create_client("127.0.0.1", free_port(), "ep")
+    exc = raises(NotRun, get, client, "r1")
+    assert exc.step == "connect"
+
+
+def test_last_check_can_stop_a_request_before_its_first_byte():
+    received = []
+
+    def handle(sock):
+        received.append(sock.recv(100))
+
+    def stop():
+        raise NotRun("too late", "send", "ep")
+
+    with scripted_server(handle) as port:
+        client = create_client("127.0.0.1", port, "ep")
+        req = SentRequest("GET", "/x", {})
+        raises(NotRun, client.send, req, 1.0, stop)
+        client.close()
+        gevent.sleep(0.05)
+    assert received in ([], [b""])
+
+
+def test_second_answer_in_the_same_segment_is_dropped():
+    def handle(sock):
+        while head := read_request(sock):
+            sock.sendall(answer(head, b"mine") + answer(head, b"again"))
+
+    with scripted_server(handle) as port:
+        client = create_client("127.0.0.1", port, "ep")
+        assert get(client, "r1").read() == b"mine"
+        assert get(client, "r2").read() == b"mine"
+
+
+def test_late_second_answer_is_not_taken_for_the_next_request():
+    def handle(sock):
+        head = read_request(sock)
+        sock.sendall(answer(head, b"one"))
+        read_request(sock)
+        sock.sendall(answer(head, b"one again"))
+
+    with scripted_server(handle) as port:
+        client = create_client("127.0.0.1", port, "ep")
+        assert get(client, "r1").read() == b"one"
+        exc = raises(OutcomeUnknown, get, client, "r2")
+    assert exc.step == "match answer"
+
+
+def test_connection_is_reused_only_after_the_identifier_was_echoed():
+    connections = []
+
+    def handle_with(echo):
+        def handle(sock):
+            connections.append(sock)
+            while head := read_request(sock):
+                request_id = echo_of(head).encode() if echo else b""
+                sock.sendall(ANSWER % (1, request_id, b"x"))
+
+        return handle
+
+    for echo, expected in ((True, 1), (False, 2)):
+        connections.clear()
+        with scripted_server(handle_with(echo)) as port:
+            client = create_client("127.0.0.1", port, "ep")
+            for request_id in ("r1", "r2"):
+                req = SentRequest("GET", "/x", {}, request_id=request_id)
+                try:
+                    client.send(req, 1.0).read()
+                except OutcomeUnknown:
+                    assert not echo
+        assert len(connections) == expected
+
+
+def test_cut_answer_raises_instead_of_ending():
+    def handle(sock):
+        head = read_request(sock)
+        sock.sendall(answer(head, b"whole answer")[:-4])
+
+    with scripted_server(handle) as port:
+        client = create_client("127.0.0.1", port, "ep")
+        res = get(client, "r1")
+        blocks = []
+        raises(Exception, lambda: blocks.extend(iter(res.read_some, b"")))
+    assert b"".join(blocks) == b"whole an"
+
+
+def test_answer_sent_before_the_whole_request_was_read_is_returned():
+    def handle(sock):
+        read_request(sock)
+        sock.sendall(b"HTTP/1.1 413 Too Large\r\nContent-Length: 0\r\n\r\n")
+        sock.shutdown(gevent.socket.SHUT_WR)
+        gevent.sleep(0.2)
+
+    def blocks():
+        for _ in range(20):
+            yield b"x" * 65536
+            gevent.sleep(0.01)
+
+    with scripted_server(handle) as port:
+        client = create_client("127.0.0.1", port, "ep")
+        req = SentRequest("POST", "/x", {}, body=blocks(), length=20 * 65536)
+        assert client.send(req, 1.0).status_code == 413
+
+
+def test_nagle_is_off_on_both_sides():
+    def application(environ, start_response):
+        start_response("200 OK", [("Content-Length", "0")])
+        return []
+
+    server = NoDelayServer(("127.0.0.1", 0), application, log=None)
+    accepted = []
+    original = server.handle
+
+    def handle(sock, address):
+        task = gevent.spawn(original, sock, address)
+        gevent.sleep(0.01)
+        accepted.append(_nodelay(sock))
+        task.join()
+
+    server.set_handle(handle)
+    server.start()
+    client = create_client("127.0.0.1", server.server_port, "server")
+    pool = client._connection_pool
+    sock = pool.get_socket()
+    assert _nodelay(sock)
+    sock.sendall(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+    sock.recv(1000)
+    gevent.sleep(0.05)
+    server.stop(timeout=0)
+    assert accepted == [True]
+
+
+def _nodelay(sock):
+    option = gevent.socket.TCP_NODELAY
+    return bool(sock.getsockopt(gevent.socket.IPPROTO_TCP, option))
--- /dev/null
+++ b/quetzalwall/process/tests/test_window.py
@@ -0,0 +1,37 @@
+from hypothesis import given
+from hypothesis import strategies as st
+
+from quetzalwall.process.window import SlidingWindow
+
+STEPS = st.lists(st.tuples(st.floats(0, 0.7), st.integers(1, 5)), max_size=60)
+
+
+@given(STEPS, st.integers(1, 12))
+def test_no_interval_holds_more_than_the_limit(steps, limit):
+    window = SlidingWindow(1.0)
+    now = 0.0
+    taken = []
+    for pause, amount in steps:
+        now += pause
+        if window.take(amount, limit, now):
+            taken.append((now, amount))
+    for start, _ in taken:
+        inside = sum(a for at, a in taken if start <= at < start + 1.0)
+        assert inside <= limit
+
+
+@given(STEPS)
+def test_wait_is_long_enough(steps):
+    window = SlidingWindow(1.0, grain_s=0.02)
+    now = 0.0
+    for pause, amount in steps:
+        now += pause
+        wait = window.wait_s(amount, 6, now)
+        if wait > 0:
+            assert window.total(now) + amount > 6
+            now += wait + 1e-6
+        assert window.take(amount, 6, now)
+
+
+def test_more_than_the_limit_never_fits():
+    assert SlidingWindow(1.0).wait_s(7, 6, 0.0) == float("inf")
