--- a/quetzalwall/process/ledger.py
+++ b/quetzalwall/process/ledger.py
@@ -18,6 +18,7 @@
 __all__ = ["LOAN_MARGIN_S", "Ledger", "Loan"]
 
 LOAN_MARGIN_S = 0.25
+INDEX_PERIOD_S = 0.1
 CLOCK_RATE_MARGIN = 0.01  # a monotonic clock may run this much too fast or too slow
 
 
@@ -72,6 +73,7 @@
         self._groups = {}
         self._hold_s = {}
         self._free = {}
+        self._next_index = float("-inf")
 
     def set_groups(self, groups, hold_s):
         """Set which keys are chosen from together.
@@ -86,6 +88,7 @@
         self._groups = groups
         self._hold_s = hold_s
         self._free = {}
+        self._next_index = float("-inf")
 
     def set_share(self, units, reserve):
         """Replace the owned units.
@@ -97,6 +100,8 @@
         reserve : dict of str to int
             Key to the part of them that needs no lease.
         """
+        if units != self.units or reserve != self.reserve:
+            self._next_index = float("-inf")
         self.units = dict(units)
         self.reserve = dict(reserve)
 
@@ -231,7 +236,10 @@
         -------
         IndexedSet
         """
-        return self._free.setdefault(group, IndexedSet())
+        keys = self._free.get(group)
+        if keys is None:
+            keys = self._free[group] = IndexedSet()
+        return keys
 
     def lend(self, loan_id, peer, wanted, now, ttl_s):
         """Lend free units; the same identifier again extends the loan.
@@ -340,7 +348,11 @@
             self.end_lent(loan.loan_id, now)
         for loan in [loan for loan in self.borrowed.values() if loan.until <= now]:
             self._drop_borrowed(loan)
-        self._index_all(self._groups, now)
+        if now >= self._next_index:
+            # Covers what changes without a call: the end of a lease, of the time in
+            # which a loan can still be used, and new shares.
+            self._next_index = now + INDEX_PERIOD_S
+            self._index_all(self._groups, now)
 
     def lent_units(self, key):
         """Return the units of a key that are lent.
--- a/quetzalwall/process/service_state.py
+++ b/quetzalwall/process/service_state.py
@@ -6,7 +6,7 @@
 from quetzalwall.request.quantile import RunningQuantile
 from quetzalwall.request.retry_budget import RetryBudget
 from quetzalwall.request.waiting import WaitingLine
-from quetzalwall.version.shares import LONG, SHORT, slot_key, slot_totals
+from quetzalwall.version.shares import LONG, SHORT, slot_totals
 
 __all__ = ["ServiceState", "group_name"]
 
@@ -16,7 +16,8 @@
 INITIAL_HEDGE_S = 0.5
 INITIAL_LONG_S = 0.5
 MEAN_WEIGHT = 0.05
-PEAK_DECAY = 0.99  # at each refresh
+REFRESH_PERIOD_S = 0.1
+PEAK_DECAY = 0.95  # at each refresh
 
 
 class ServiceState:
@@ -62,6 +63,7 @@
         self.typical = typical_s([])
         self.lines = {}
         self.mean_s = {SHORT: self.typical, LONG: INITIAL_LONG_S}
+        self._next_refresh = now
         self.slots = {SHORT: 0, LONG: 0}
         self.peak_used = {SHORT: 0.0, LONG: 0.0}
         self.configure(cfg, now)
@@ -95,6 +97,12 @@
             for key in totals
         }
 
+        self._keys = {}
+        for key in totals:
+            kind = key.rsplit("/", 1)[1]
+            for region in (None, self.region_of(key)):
+                self._keys.setdefault((kind, region), []).append(key)
+
     def region_of(self, key):
         """Return the region of a slot key.
 
@@ -123,12 +131,7 @@
         -------
         list of str
         """
-        return [
-            slot_key(name, kind)
-            for name, spec in self.endpoints.items()
-            if slot_key(name, kind) in self.groups
-            and (region is None or spec["region"] == region)
-        ]
+        return self._keys.get((kind, region), [])
 
     def note_duration(self, kind, seconds):
         """Record how long work held a slot.
@@ -172,6 +175,9 @@
         now : float
             Monotonic seconds.
         """
+        if now < self._next_refresh:
+            return
+        self._next_refresh = now + REFRESH_PERIOD_S
         self.typical = typical_s(self.loads.values())
         for kind in (SHORT, LONG):
             keys = self.keys(kind)
--- a/quetzalwall/process/tests/test_holders.py
+++ b/quetzalwall/process/tests/test_holders.py
@@ -34,6 +34,18 @@
         self.processes.append(process)
         self.read(process)
         self.write(process, process.register())
+        self.read(process)
+
+    @rule(name=NAMES, seconds=st.floats(0.6, 2.9))
+    def take_over_and_go_on(self, name, seconds):
+        """Take a member for dead that lives, and use its share as soon as allowed."""
+        for process in self.processes:
+            if process.heir_of(name) == process.instance and process.registered():
+                value = process.take_over(name, self.now)
+                if value is not None:
+                    self.write(process, value)
+                    self.now += seconds
+                    self.read(process)
 
     @rule(seconds=st.floats(0.05, 4.0))
     def pass_time(self, seconds):
