--- a/benchmarks/load_driver.py
+++ b/benchmarks/load_driver.py
@@ -348,13 +348,17 @@
         if self.now >= endpoint.down_at:
             self.at(grant.work.deadline, self._fail, name, grant)
         else:
-            self.at(self.now + self._delay(name, grant.endpoint), self._answer, name, grant)
+            self.at(
+                self.now + self._delay(name, grant.endpoint), self._answer, name, grant
+            )
 
     def _answer(self, name, grant):
         steering = self.steerings[name]
         request_id = grant.work.request_id
         if self.sharing == "none":
-            steering.services[self.service].loads[grant.endpoint]["open"].pop(request_id)
+            steering.services[self.service].loads[grant.endpoint]["open"].pop(
+                request_id
+            )
         else:
             steering.finish(grant, self.now, answered=True)
             self._deliver(name, steering.pump(self.service, self.now))
@@ -469,7 +473,11 @@
         for loan in list(self.steerings[name].ledger.borrowed.values()):
             hold_s = max(self.hold_s[key] for key in loan.units)
             due = loan.until - self.now <= hold_s + 2.0
-            if due and loan.loan_id not in self.extending and loan.peer not in self.dead:
+            if (
+                due
+                and loan.loan_id not in self.extending
+                and loan.peer not in self.dead
+            ):
                 self.extending.add(loan.loan_id)
                 delay = self._peer_delay(name, loan.peer)
                 self.at(self.now + delay, self._extended, name, loan, self.now)
--- /dev/null
+++ b/benchmarks/rows.py
@@ -0,0 +1,168 @@
+"""Rows of the measurement tables, and the pages made from them."""
+
+import json
+import statistics
+from pathlib import Path
+from typing import TypedDict
+
+__all__ = ["Row", "make_row", "quantile", "write_case", "write_page"]
+
+FOLDER = Path(__file__).resolve().parent.parent / "docs" / "measurements"
+
+
+class Row(TypedDict):
+    """One figure over all seeds.
+
+    Attributes
+    ----------
+    measure, deployment, policy : str
+        What was measured, where, and with which policy.
+    seeds : int
+        Number of runs.
+    median, min, max : float
+        Over the runs.
+    unit : str
+        Unit.
+    bound : str
+        For example ``"<= 1.5"``; empty if there is none.
+    holds : bool or None
+        Whether the median keeps the bound; None if there is none.
+    """
+
+    measure: str
+    deployment: str
+    policy: str
+    seeds: int
+    median: float
+    min: float
+    max: float
+    unit: str
+    bound: str
+    holds: bool | None
+
+
+def make_row(measure, deployment, policy, values, unit, bound="", worst=False):
+    """Return one row.
+
+    Parameters
+    ----------
+    measure, deployment, policy : str
+        Labels.
+    values : sequence of float
+        One for each run.
+    unit : str
+        Unit.
+    bound : str, default=""
+        ``"<= X"`` or ``">= X"``, from the stated target.
+    worst : bool, default=False
+        Whether every run must keep the bound, not only the median.
+
+    Returns
+    -------
+    Row
+
+    Examples
+    --------
+    >>> make_row("p99", "x", "ours", [1.0, 2.0, 4.0], "s", "<= 1.5")["holds"]
+    False
+    """
+    judged = list(values) if worst else [statistics.median(values)]
+    return Row(
+        measure=measure,
+        deployment=deployment,
+        policy=policy,
+        seeds=len(values),
+        median=_round(statistics.median(values)),
+        min=_round(min(values)),
+        max=_round(max(values)),
+        unit=unit,
+        bound=bound,
+        holds=all(_keeps(value, bound) for value in judged) if bound else None,
+    )
+
+
+def quantile(values, fraction):
+    """Return a quantile of a sample.
+
+    Parameters
+    ----------
+    values : sequence of float
+        Not empty.
+    fraction : float
+        Between 0 and 1.
+
+    Returns
+    -------
+    float
+        The least value with at least that fraction at or below it.
+    """
+    ordered = sorted(values)
+    place = min(len(ordered) - 1, int(fraction * len(ordered)))
+    return ordered[place]
+
+
+def write_case(name, title, conclusion, rows):
+    """Store the rows of a case.
+
+    Parameters
+    ----------
+    name : str
+        Name of the case, and of its file.
+    title, conclusion : str
+        For the page.
+    rows : list of Row
+        The figures.
+    """
+    FOLDER.mkdir(parents=True, exist_ok=True)
+    document = {"title": title, "conclusion": conclusion, "rows": rows}
+    text = json.dumps(document, indent=1)
+    (FOLDER / f"{name}.json").write_text(text + "\n")
+
+
+def write_page(commit):
+    """Write the page that tabulates all cases.
+
+    Parameters
+    ----------
+    commit : str
+        Commit that was measured.
+    """
+    lines = [
+        "# Measurements",
+        "",
+        "Made by `make measure`, or `make measure CASE=name`; each case also stands in",
+        "a JSON file here. Bounds are the stated targets. A row that does not hold",
+        f"stays in its table. Last case measured at commit {commit}, with the changes",
+        "committed together with this page.",
+    ]
+    for file in sorted(FOLDER.glob("*.json")):
+        lines += _case_lines(file)
+    (FOLDER / "README.md").write_text("\n".join(lines) + "\n")
+
+
+def _case_lines(file):
+    document = json.loads(file.read_text())
+    lines = ["", f"## {file.stem}: {document['title']}", "", document["conclusion"], ""]
+    lines.append(
+        "| measure | deployment | policy | median | min..max | bound | holds |"
+    )
+    lines.append("|---|---|---|---|---|---|---|")
+    for row in document["rows"]:
+        holds = {True: "yes", False: "**no**", None: ""}[row["holds"]]
+        value = f"{row['median']:g} {row['unit']}".strip()
+        spread = f"{row['min']:g}..{row['max']:g} ({row['seeds']})"
+        lines.append(
+            f"| {row['measure']} | {row['deployment']} | {row['policy']} | {value} "
+            f"| {spread} | {row['bound']} | {holds} |"
+        )
+    return lines
+
+
+def _keeps(value, bound):
+    sign, limit = bound.split()
+    limit = float(limit.rstrip("%"))
+    return value <= limit if sign == "<=" else value >= limit
+
+
+def _round(value):
+    return float(f"{value:.4g}")
--- a/standins/endpoints.py
+++ b/standins/endpoints.py
@@ -127,8 +127,11 @@
 
     def _read_body(self, environ):
         size = 0
-        while block := environ["wsgi.input"].read(BLOCK_BYTES):
-            size += len(block)
+        try:
+            while block := environ["wsgi.input"].read(BLOCK_BYTES):
+                size += len(block)
+        except OSError as exc:
+            raise _Cancelled from exc
         return size
 
     def _work(self, environ):
