Lend what is free to a peer whose requests wait; no hedges without spare slots

Cause: at 95% load each lender kept its recent peak, so that each instance queued on its own 8 slots, and hedges added 5% of work where none was left. A claim is given up after half of the request's time, so that the refusal reaches the caller in time.

--- a/quetzalwall/process/lending.py
+++ b/quetzalwall/process/lending.py
@@ -13,6 +13,7 @@
 __all__ = ["Wish", "headroom_units", "loans_to_return", "units_to_lend", "wishes"]
 
 HEADROOM_FRACTION = 0.2  # of the units in use, kept free for the next requests
+REMOTE_WAIT_S = 0.1
 KEEP_FRACTION = 0.2  # of the lender's recent peak, kept beyond it
 
 
@@ -29,12 +30,15 @@
         Region of the endpoints.
     count : int
         Units at most.
+    waiting : int
+        Requests that wait at the borrower.
     """
 
     service: str
     kind: str
     region: str
     count: int
+    waiting: int = 0
 
 
 def wishes(steering, now):
@@ -55,12 +59,7 @@
     found = []
     for service in steering.services.values():
         for kind in (SHORT, LONG):
-            missing = _missing(steering, service, kind, now)
-            if missing > 0:
-                found += [
-                    Wish(service.name, kind, region, missing)
-                    for region in steering.regions
-                ]
+            found += _wishes_of_kind(steering, service, kind, now)
         found += _shift_wishes(steering, service, now)
     return found
 
@@ -122,7 +121,7 @@
             kept = _shift_regions(steering, service)
             keys = {k for k in service.keys(kind) if service.region_of(k) not in kept}
             free = _free(steering, service, kind, now)
-            spare = free - 2 * headroom_units(steering, service, kind) - 1
+            spare = free - headroom_units(steering, service, kind) - 1
             for loan in sorted(steering.ledger.borrowed.values()):
                 size = sum(loan.units.values())
                 if keys.issuperset(loan.units) and size <= spare:
@@ -151,6 +150,21 @@
     return math.ceil(HEADROOM_FRACTION * used) if used else 0
 
 
+def _wishes_of_kind(steering, service, kind, now):
+    missing = _missing(steering, service, kind, now)
+    if missing <= 0:
+        return []
+    waiting = len(service.lines[kind])
+    found = [Wish(service.name, kind, steering.region, missing, waiting)]
+    head = service.lines[kind].head()
+    if head is not None and now - head.arrived > REMOTE_WAIT_S:
+        # A slot in another region is held for the way there and back as well, so it
+        # is asked for only when the own region has no more.
+        others = [region for region in steering.regions if region != steering.region]
+        found += [Wish(service.name, kind, region, waiting) for region in others]
+    return found
+
+
 def _missing(steering, service, kind, now):
     waiting = len(service.lines[kind])
     wanted = waiting + headroom_units(steering, service, kind)
@@ -182,10 +196,16 @@
 
 
 def _units_to_keep(steering, service, wish):
-    """Return the units that the lender keeps free for itself."""
+    """Return the units that the lender keeps free for itself.
+
+    A peer whose requests wait gets what is free now, since no request of this instance
+    waits; one that only wants headroom gets what was not needed lately.
+    """
+    waiting = len(service.lines[wish.kind])
+    if wish.waiting > waiting:
+        return waiting
     peak = service.peak_used[wish.kind]
     used = _used(steering, service, wish.kind)
-    waiting = len(service.lines[wish.kind])
     return max(0, math.ceil((1 + KEEP_FRACTION) * peak) - used) + waiting
 
 
--- a/quetzalwall/process/node.py
+++ b/quetzalwall/process/node.py
@@ -238,7 +238,7 @@
             With ``units`` and ``ttl_s``.
         """
         now = self.clock.monotonic()
-        wish = Wish(req.service, req.kind, req.region, req.count)
+        wish = Wish(req.service, req.kind, req.region, req.count, req.waiting)
         held = self.ledger.lent.get(req.loan_id)
         wanted = held.units if held else units_to_lend(self.steering, wish, now)
         if not wanted or self.stopping:
--- a/quetzalwall/process/peer_messages.py
+++ b/quetzalwall/process/peer_messages.py
@@ -54,8 +54,17 @@
             "kind": {"enum": ["short", "long"]},
             "region": _NAME,
             "count": {"type": "integer", "minimum": 1, "maximum": 1_000_000},
+            "waiting": {"type": "integer", "minimum": 0, "maximum": 1_000_000},
         },
-        "required": ["sender", "loan_id", "service", "kind", "region", "count"],
+        "required": [
+            "sender",
+            "loan_id",
+            "service",
+            "kind",
+            "region",
+            "count",
+            "waiting",
+        ],
     }
 )
 
@@ -98,6 +107,7 @@
     kind: str
     region: str
     count: int
+    waiting: int
 
 
 def parse_heartbeat(body, peer):
--- a/quetzalwall/process/service_state.py
+++ b/quetzalwall/process/service_state.py
@@ -17,6 +17,7 @@
 INITIAL_LONG_S = 0.5
 MEAN_WEIGHT = 0.05
 REFRESH_PERIOD_S = 0.1
+MOST_USED_FOR_EXTRA = 0.8  # part of the slots in use, up to which hedges are sent
 PEAK_DECAY = 0.95  # at each refresh
 
 
@@ -64,6 +65,7 @@
         self.lines = {}
         self.mean_s = {SHORT: self.typical, LONG: INITIAL_LONG_S}
         self._next_refresh = now
+        self._used_part = 0.0
         self.slots = {SHORT: 0, LONG: 0}
         self.peak_used = {SHORT: 0.0, LONG: 0.0}
         self.configure(cfg, now)
@@ -165,6 +167,15 @@
             return 0.0
         return ahead * self.mean_s[kind] / self.slots[kind]
 
+    def has_spare(self):
+        """Return whether slots are left for requests that callers did not send.
+
+        Returns
+        -------
+        bool
+        """
+        return not len(self.lines[SHORT]) and self._used_part <= MOST_USED_FOR_EXTRA
+
     def refresh(self, ledger, now):
         """Work out the figures that needn't follow each request.
 
@@ -184,6 +195,8 @@
             used = sum(ledger.used.get(key, 0) for key in keys)
             self.slots[kind] = sum(ledger.entitled(key, now) for key in keys)
             self.peak_used[kind] = max(used, self.peak_used[kind] * PEAK_DECAY)
+            if kind == SHORT:
+                self._used_part = used / max(1, self.slots[kind])
 
 
 def group_name(service, region, kind):
--- a/quetzalwall/process/steering.py
+++ b/quetzalwall/process/steering.py
@@ -218,7 +218,7 @@
         service = self.services[work.service]
         if not service.hedging or not work.idempotent or work.long:
             return None
-        if service.budget.credit < 1.0:
+        if service.budget.credit < 1.0 or not service.has_spare():
             return None
         grant = self._choose(service, work, now, avoid=first)
         if grant is not None:
@@ -267,7 +267,7 @@
             load = service.loads[endpoint]
             if load["probe_at"] > now or load["open"] or endpoint in self.leaving:
                 continue
-            if service.budget.credit < 1.0:
+            if service.budget.credit < 1.0 or not service.has_spare():
                 return None
             grant = self._take(service, work, endpoint, now, "probe", 1)
             if grant is not None:
--- a/quetzalwall/process/write_batcher.py
+++ b/quetzalwall/process/write_batcher.py
@@ -121,7 +121,13 @@
         if self._queue.full():
             raise StoreUnavailable("too many writes wait", "queue write", "table")
         self._queue.put(write)
-        return write.result.get()
+        left_s = max(0.0, until - self._clock.monotonic())
+        try:
+            return write.result.get(timeout=left_s)
+        except gevent.Timeout:
+            # The write may be under way in a batch, and take effect later.
+            message = "no answer in time"
+            raise StoreUnavailable(message, "write row", "table") from None
 
     def _run(self):
         while True:
@@ -149,7 +155,8 @@
 
     def _send(self, batch):
         """Send a batch; return the writes to be sent again."""
-        batch = [write for write in batch if not self._expired(write)]
+        now = self._clock.monotonic()
+        batch = [write for write in batch if now < write.until]
         if not batch:
             return []
         checks = {write.key: write.expected for write in batch}
@@ -180,13 +187,6 @@
             write.result.set(WriteResult(mine, row.version, row.value))
         return [write for write in batch if write.key not in rows]
 
-    def _expired(self, write):
-        if self._clock.monotonic() < write.until:
-            return False
-        exc = StoreUnavailable("no answer in time", "write row", "table")
-        write.result.set_exception(exc)
-        return True
-
     def _back_off(self):
         doubled = max(FIRST_BACKOFF_S, 2 * self._backoff_s)
         self._backoff_s = min(LONGEST_BACKOFF_S, doubled)
--- a/quetzalwall/request/forward.py
+++ b/quetzalwall/request/forward.py
@@ -30,6 +30,7 @@
 __all__ = ["Forwarder", "create_forwarder"]
 
 MOST_ATTEMPTS = 3
+CLAIM_PART = 0.5  # of a request's time, after which it is refused without a claim
 CALLER_HEADER = "HTTP_X_CALLER"
 PATIENCE_HEADER = "HTTP_X_DEADLINE_MS"
 KEY_VARIABLE = "HTTP_IDEMPOTENCY_KEY"
@@ -172,13 +173,9 @@
     def _claim(self, req):
         work = req.work
         digest = request_digest(req.method, req.target, req.body.whole or b"")
-        return self._claims.claim(
-            work.service,
-            req.key,
-            digest,
-            work.deadline - work.arrived,
-            work.deadline,
-        )
+        duration_s = work.deadline - work.arrived
+        until = work.arrived + CLAIM_PART * duration_s
+        return self._claims.claim(work.service, req.key, digest, duration_s, until)
 
     def _run(self, req):
         """Run an idempotent request, with a hedge if it is short."""
