--- a/benchmarks/load_driver.py
+++ b/benchmarks/load_driver.py
@@ -14,6 +14,7 @@
 from quetzalwall.process.holders import loan_ttl_s
 from quetzalwall.process.ledger import Ledger, Loan
 from quetzalwall.process.lending import loans_to_return, units_to_lend, wishes
+from quetzalwall.process.peers import REFUSED_PAUSE_S, REMOTE_PAUSE_FACTOR
 from quetzalwall.process.steering import create_steering, hold_limits
 from quetzalwall.request.classify import RequestFacts, classify
 from quetzalwall.request.work import Grant
@@ -461,7 +462,9 @@
     def _borrow(self, name, wish, peers, loan):
         count = wish.count
         if loan is None:
-            self.refused_until[name, peers[0], wish[:3]] = self.now + 0.2
+            near = wish.region == self.instances[name]["region"]
+            pause = REFUSED_PAUSE_S * (1 if near else REMOTE_PAUSE_FACTOR)
+            self.refused_until[name, peers[0], wish[:3]] = self.now + pause
         else:
             steering = self.steerings[name]
             steering.ledger.borrow(loan, self.now)
--- a/quetzalwall/platform/table.py
+++ b/quetzalwall/platform/table.py
@@ -62,6 +62,7 @@
     """
 
     def __init__(self, host, port, timeout_s=2.0):
+        self.timeout_s = timeout_s
         self._client = create_json_client(
             host, port, TABLE_PEER, timeout_s=timeout_s, size=32
         )
--- a/quetzalwall/process/peers.py
+++ b/quetzalwall/process/peers.py
@@ -20,7 +20,8 @@
 HEARTBEAT_TIMEOUT_S = 0.6
 LOAN_TIMEOUT_S = 0.5
 LOAN_TICK_S = 0.05
-REFUSED_PAUSE_S = 0.2
+REFUSED_PAUSE_S = 0.05  # within a region, and four times that beyond
+REMOTE_PAUSE_FACTOR = 4
 EXTEND_BEFORE_S = 2.0  # beyond the longest work, at which a loan is extended
 CONFIG_TIMEOUT_S = 5.0
 LOG = get_logger("peers")
@@ -226,7 +227,9 @@
         loan_id = uuid4().hex
         units, ttl_s = self._request_loan(name, loan_id, wish)
         if not units:
-            self._refused[name, wish[:3]] = asked_at + REFUSED_PAUSE_S
+            near = wish.region == self._node.steering.region
+            factor = 1 if near else REMOTE_PAUSE_FACTOR
+            self._refused[name, wish[:3]] = asked_at + factor * REFUSED_PAUSE_S
             return 0
         now = self._node.clock.monotonic()
         self._node.ledger.borrow(Loan(loan_id, name, units, asked_at + ttl_s), now)
--- a/quetzalwall/process/steering.py
+++ b/quetzalwall/process/steering.py
@@ -109,6 +109,8 @@
         line = service.lines[kind]
         if work.long and not service.keys(LONG):
             return [Shed(work, "no slots for long work", SHED_RETRY_S)]
+        if self.leaving.issuperset(service.endpoints):
+            return [Shed(work, "all endpoints leave", SHED_RETRY_S)]
         wait_s = service.expected_wait_s(kind, work.rank)
         if now + wait_s > work.deadline:
             return [Shed(work, "would wait past its deadline", SHED_RETRY_S)]
--- a/quetzalwall/process/write_batcher.py
+++ b/quetzalwall/process/write_batcher.py
@@ -19,6 +19,7 @@
 BATCH_ROWS = 64
 BATCHES_IN_FLIGHT = 8
 MAX_PENDING = 4096
+SHORTEST_TIMEOUT_S = 0.1
 FIRST_BACKOFF_S = 0.05
 LONGEST_BACKOFF_S = 1.0
 
@@ -161,9 +162,11 @@
             return []
         checks = {write.key: write.expected for write in batch}
         writes = {write.key: write.value for write in batch}
-        left_s = max(write.until for write in batch) - self._clock.monotonic()
+        left_s = max(write.until for write in batch) - now
+        # A lost reply must leave time for another attempt.
+        timeout_s = min(self._table.timeout_s, max(SHORTEST_TIMEOUT_S, left_s / 2))
         try:
-            result = self._table.txn(checks, writes, timeout_s=min(1.0, left_s))
+            result = self._table.txn(checks, writes, timeout_s=timeout_s)
         except StoreUnavailable:
             self._back_off()
             return batch
