--- a/benchmarks/load_driver.py
+++ b/benchmarks/load_driver.py
@@ -11,10 +11,10 @@
 from collections import deque
 from typing import NamedTuple
 
-from quetzalwall.process.holders import loan_ttl_s
 from quetzalwall.process.ledger import Ledger, Loan
 from quetzalwall.process.lending import loans_to_return, units_to_lend, wishes
 from quetzalwall.process.peers import REFUSED_PAUSE_S, REMOTE_PAUSE_FACTOR
+from quetzalwall.process.rights import loan_ttl_s
 from quetzalwall.process.steering import create_steering, hold_limits
 from quetzalwall.request.classify import RequestFacts, classify
 from quetzalwall.request.work import Grant
--- a/quetzalwall/process/node.py
+++ b/quetzalwall/process/node.py
@@ -8,12 +8,13 @@
 from quetzalwall.process.admission import create_admission
 from quetzalwall.process.config_keeper import create_config_keeper
 from quetzalwall.process.endpoint_directory import create_endpoint_directory
-from quetzalwall.process.holders import RESERVE_S, create_holders, loan_ttl_s
+from quetzalwall.process.holders import create_holders
 from quetzalwall.process.ledger import Ledger
 from quetzalwall.process.lending import Wish, units_to_lend
 from quetzalwall.process.membership import DEAD, create_membership
 from quetzalwall.process.metrics import create_metrics
 from quetzalwall.process.peer_messages import Heartbeat
+from quetzalwall.process.rights import RESERVE_S, loan_ttl_s
 from quetzalwall.process.share_keeper import create_share_keeper
 from quetzalwall.process.steering import hold_limits
 from quetzalwall.request.lookup import Member
--- a/quetzalwall/process/steering.py
+++ b/quetzalwall/process/steering.py
@@ -5,24 +5,16 @@
 """
 
 from quetzalwall.process.ledger import Ledger
-from quetzalwall.process.loads import (
-    expected_s,
-    is_slow,
-    record_end,
-    record_failure,
-    record_start,
-)
-from quetzalwall.process.service_state import ServiceState, group_name
+from quetzalwall.process.loads import record_end, record_failure
+from quetzalwall.process.placement import SAMPLE, choose, index_slow, take
+from quetzalwall.process.service_state import ServiceState
 from quetzalwall.process.shift import create_shift_progress
-from quetzalwall.request.work import Grant, Shed
+from quetzalwall.process.shift_rules import step_shift
+from quetzalwall.request.work import Shed
 from quetzalwall.version.shares import LONG, SHORT
 
-__all__ = ["Steering", "create_steering"]
+__all__ = ["Steering", "create_steering", "hold_limits"]
 
-SAMPLE = 6  # endpoints compared for one request
-MOST_SLOW_FRACTION = 0.3  # of a region's endpoints that may be avoided at once
-WORSE_WAIT_FRACTION = 0.5  # of the extra duration that is waited before taking it
-WARM_UP_SAMPLES = 5  # answers during which an endpoint gets one request at a time
 SHED_RETRY_S = 1.0
 
 
@@ -143,7 +135,7 @@
                     line.pop()
                     decisions.append(Shed(head, "deadline passed", SHED_RETRY_S))
                     continue
-                grant = self._choose(service, head, now)
+                grant = choose(self, service, head, now)
                 if grant is None:
                     break
                 line.pop()
@@ -180,7 +172,7 @@
             record_end(load, grant.work.request_id, now, service.typical)
         else:
             record_failure(load, grant.work.request_id, now)
-        self._index_slow(service, grant.endpoint, load)
+        index_slow(service, grant.endpoint)
 
     def cancel(self, grant, now):
         """Record that a request was cancelled, which says nothing on the endpoint.
@@ -222,7 +214,7 @@
             return None
         if service.budget.credit < 1.0 or not service.has_spare():
             return None
-        grant = self._choose(service, work, now, avoid=first)
+        grant = choose(self, service, work, now, avoid=first)
         if grant is not None:
             service.budget.spend()
         return grant
@@ -246,7 +238,7 @@
         service = self.services[work.service]
         if now >= work.deadline or not service.budget.spend():
             return None
-        return self._choose(service, work, now, avoid=failed)
+        return choose(self, service, work, now, avoid=failed)
 
     def probe(self, work, now):
         """Return a slow endpoint to which a copy of a request is due.
@@ -271,7 +263,7 @@
                 continue
             if service.budget.credit < 1.0 or not service.has_spare():
                 return None
-            grant = self._take(service, work, endpoint, now, "probe", 1)
+            grant = take(self, service, work, endpoint, now, "probe", 1)
             if grant is not None:
                 service.budget.spend()
                 return grant
@@ -299,7 +291,7 @@
             decisions += self.pump(name, now)
         for progress in self.shifts.values():
             progress.refresh(self.ledger, now)
-            self._step_shift(progress, now)
+            step_shift(self, progress, now)
         return decisions
 
     def set_leaving(self, endpoints):
@@ -322,168 +314,6 @@
         for name in [name for name in self.shifts if name not in self.cfg["shifts"]]:
             del self.shifts[name]
 
-    def _choose(self, service, work, now, avoid=None):
-        """Return a grant from the best region with a free slot, or None."""
-        moved_by = self._shift_for(service, work, now)
-        if moved_by is not None:
-            progress = self.shifts[moved_by]
-            grant = self._choose_in(service, work, progress.spec["to"], now, avoid)
-            if grant is not None:
-                return self._count_moved(progress, grant, now)
-        for region in self.regions:
-            if region != self.region and not self._may_spill(service, region):
-                continue
-            grant = self._choose_in(service, work, region, now, avoid)
-            if grant is not None:
-                return self._count_spill(service, grant, region, now)
-        return None
-
-    def _choose_in(self, service, work, region, now, avoid):
-        """Return a grant in one region, or None."""
-        for kind in self._kinds_for(service, work):
-            keys = self.ledger.free_keys(group_name(service.name, region, kind))
-            sampled = keys.sample(SAMPLE, self.rng)
-            grant = self._choose_of(service, work, sampled, len(keys), now, avoid)
-            if grant is not None:
-                return grant
-        return None
-
-    def _choose_of(self, service, work, keys, of, now, avoid):
-        good, worse = [], []
-        avoidable = len(service.slow) <= MOST_SLOW_FRACTION * len(service.endpoints)
-        for key in keys:
-            endpoint = key.rsplit("/", 1)[0]
-            if endpoint in self.leaving or endpoint == avoid:
-                continue
-            load = service.loads[endpoint]
-            slow = not work.long and is_slow(load, now, service.typical)
-            if slow:
-                self._index_slow(service, endpoint, load)
-            warming = load["samples"] < WARM_UP_SAMPLES and load["open"]
-            if avoidable and (slow or warming):
-                worse.append(endpoint)
-            else:
-                good.append(endpoint)
-        if good:
-            endpoint = service.policy(good, service.loads, now, self.rng)
-            if avoid is None and not self._worth(service, work, endpoint, now):
-                return None
-            return self._take(service, work, endpoint, now, "fastest", of)
-        if worse and avoid is None:
-            endpoint = service.policy(worse, service.loads, now, self.rng)
-            if self._worth(service, work, endpoint, now):
-                return self._take(service, work, endpoint, now, "only slow", of)
-        return None
-
-    def _worth(self, service, work, endpoint, now):
-        """Return whether a request waited long enough for a slower endpoint."""
-        extra_s = expected_s(service.loads[endpoint], now) - service.typical
-        if extra_s < service.typical:
-            return True
-        return now - work.arrived >= WORSE_WAIT_FRACTION * extra_s
-
-    def _take(self, service, work, endpoint, now, reason, of):
-        """Return a grant at one endpoint, or None if no slot is free there."""
-        hold_s = work.deadline - now
-        for kind in self._kinds_for(service, work):
-            key = f"{endpoint}/{kind}"
-            if self.ledger.acquire(key, now, hold_s):
-                load = service.loads[endpoint]
-                figure = expected_s(load, now)
-                if not work.long:
-                    record_start(load, work.request_id, now)
-                return Grant(work, endpoint, key, reason, of, figure, now)
-        return None
-
-    def _kinds_for(self, service, work):
-        if work.long:
-            return (LONG,)
-        long_head = service.lines[LONG].head()
-        if long_head is not None and long_head.rank < work.rank:
-            return (SHORT,)
-        return (SHORT, LONG)
-
-    def _shift_for(self, service, work, now):
-        """Return the shift that should move this request, or None."""
-        for name, progress in self.shifts.items():
-            spec = progress.spec
-            if spec["service"] != service.name or spec["from"] != self.region:
-                continue
-            if not progress.running() or not progress.fraction:
-                continue
-            if self.rng.random() < progress.fraction and self._cap_left(progress, now):
-                return name
-        return None
-
-    def _cap_left(self, progress, now):
-        limit = self.ledger.entitled(progress.key, now, progress.spec["interval_s"])
-        return progress.window.total(now) < limit
-
-    def _count_moved(self, progress, grant, now):
-        progress.take(self.ledger, now)
-        return grant._replace(reason="shift", moved_by=progress.name)
-
-    def _may_spill(self, service, region):
-        """Return whether work may leave this region without breaking a shift's cap."""
-        progress = self._shift_between(service, region)
-        return progress is None or progress.running()
-
-    def _count_spill(self, service, grant, region, now):
-        progress = self._shift_between(service, region)
-        if progress is None:
-            return grant
-        if not progress.take(self.ledger, now):
-            self._undo(service, grant, now)
-            return None
-        return grant._replace(moved_by=progress.name)
-
-    def _shift_between(self, service, region):
-        for progress in self.shifts.values():
-            spec = progress.spec
-            ends = (spec["service"], spec["from"], spec["to"])
-            if ends == (service.name, self.region, region):
-                return progress
-        return None
-
-    def _undo(self, service, grant, now):
-        self.ledger.release(grant.key, now)
-        service.loads[grant.endpoint]["open"].pop(grant.work.request_id, None)
-
-    def _index_slow(self, service, endpoint, load):
-        if load["slow"]:
-            service.slow.add(endpoint)
-        else:
-            service.slow.discard(endpoint)
-
-    def _step_shift(self, progress, now):
-        spec = progress.spec
-        service = self.services.get(spec["service"])
-        if service is None or spec["from"] != self.region:
-            return
-        loads = [
-            service.loads[name]
-            for name, endpoint in service.endpoints.items()
-            if endpoint["region"] == spec["to"] and service.loads[name]["samples"]
-        ]
-        measured_s = None
-        age_s = float("inf")
-        if loads:
-            means = sorted(load["ewma_s"] for load in loads)
-            measured_s = means[len(means) // 2]
-            age_s = now - max(load["ended_at"] for load in loads)
-        progress.step(measured_s, age_s, self._headroom(service, spec["to"]), now)
-
-    def _headroom(self, service, region):
-        """Return the free part of the units held in a region; 1 if none is held."""
-        used = free = 0
-        for key in service.keys(SHORT, region):
-            units = self.ledger.used.get(key, 0)
-            used += units
-            free += key in self.ledger.free_keys(
-                group_name(service.name, region, SHORT)
-            )
-        return free / (used + free) if used + free else 1.0
-
 
 def hold_limits(cfg):
     """Return the longest time for which a unit of each key may be held.
--- a/quetzalwall/request/claim.py
+++ b/quetzalwall/request/claim.py
@@ -29,7 +29,6 @@
 UNKNOWN = "unknown"
 RECORD_TIMEOUT_S = 30.0
 IN_PROGRESS_MARGIN_S = 5.0
-MAX_KEY_LENGTH = 200
 
 
 class Claim(NamedTuple):
--- a/quetzalwall/request/forward.py
+++ b/quetzalwall/request/forward.py
@@ -17,12 +17,12 @@
     answer_for_error,
 )
 from quetzalwall.request.caller_body import open_body
-from quetzalwall.request.claim import (
-    MAX_KEY_LENGTH,
-    Claim,
-    RecordedAnswer,
-    request_digest,
+from quetzalwall.request.caller_headers import (
+    caller_headers,
+    idempotency_key,
+    patience_s,
 )
+from quetzalwall.request.claim import Claim, RecordedAnswer, request_digest
 from quetzalwall.request.classify import RequestFacts, classify
 from quetzalwall.request.exchange import Exchange
 from quetzalwall.request.hedging import Attempt, run_hedged
@@ -32,8 +32,6 @@
 MOST_ATTEMPTS = 3
 CLAIM_PART = 0.5  # of a request's time, after which it is refused without a claim
 CALLER_HEADER = "HTTP_X_CALLER"
-PATIENCE_HEADER = "HTTP_X_DEADLINE_MS"
-KEY_VARIABLE = "HTTP_IDEMPOTENCY_KEY"
 LOG = get_logger("forward")
 
 
@@ -139,16 +137,16 @@
             path=path,
             caller=environ.get(CALLER_HEADER) or environ["REMOTE_ADDR"],
             body_bytes=body.length,
-            patience_s=_patience_s(environ),
+            patience_s=patience_s(environ),
         )
         work = classify(cfg, facts, self._clock.monotonic())
         if work is None:
             raise BadRequest(404, f"no route of {service} takes {path[:80]}")
         query = environ.get("QUERY_STRING")
         target = f"{path}?{query}" if query else path
-        key = "" if work.idempotent else _idempotency_key(environ)
+        key = "" if work.idempotent else idempotency_key(environ)
         return CallerRequest(
-            work, facts.method, target, _caller_headers(environ), body, key
+            work, facts.method, target, caller_headers(environ), body, key
         )
 
     def _run_once(self, req):
@@ -353,34 +351,6 @@
     return answer_for_error(exc)._replace(status=409)
 
 
-def _patience_s(environ):
-    text = environ.get(PATIENCE_HEADER)
-    if text is None:
-        return None
-    if not text.isdigit() or len(text) > 12:
-        raise BadRequest(400, f"X-Deadline-Ms is not a number: {text[:40]}")
-    return int(text) / 1000
-
-
-def _idempotency_key(environ):
-    key = environ.get(KEY_VARIABLE, "")
-    if not key:
-        raise BadRequest(400, "this request needs an Idempotency-Key header")
-    if len(key) > MAX_KEY_LENGTH or not key.isprintable():
-        raise BadRequest(400, f"Idempotency-Key is longer than {MAX_KEY_LENGTH}")
-    return key
-
-
-def _caller_headers(environ):
-    headers = {}
-    for name, value in environ.items():
-        if name.startswith("HTTP_"):
-            headers[name[5:].replace("_", "-").title()] = value
-    if environ.get("CONTENT_TYPE"):
-        headers["Content-Type"] = environ["CONTENT_TYPE"]
-    return headers
-
-
 def create_forwarder(admission, endpoints, claims, clock, metrics):
     """Return the forwarder of one instance.
 
