Return idle loans at once and divide each kind of slot evenly

Cause of waits beside uploads (Whetstone, 8 short slots a region): the division balanced all kinds together and left one instance with 1 of 8 short slots; borrowed slots lay idle while their lender's requests waited.

--- a/benchmarks/load_driver.py
+++ b/benchmarks/load_driver.py
@@ -168,6 +168,7 @@
         self.sent = 0
         self.dead = set()
         self.short = set()
+        self.rounds = {}
 
     def at(self, when, action, *arguments):
         """Run an action at a time.
@@ -260,9 +261,16 @@
         decisions = self.steerings[name].submit(work, self.now)
         self._deliver(name, decisions)
         waits = not any(d.work.request_id == request_id for d in decisions)
-        if waits and self.sharing == "lending" and name not in self.short:
-            self.short.add(name)
-            self.at(self.now + LEAST_PAUSE_S, self._borrow_at_once, name)
+        if waits:
+            self._borrow_soon(name)
+
+    def _borrow_soon(self, name):
+        """Run a round of lending, with the daemon's least pause between two."""
+        if self.sharing != "lending" or name in self.short:
+            return
+        self.short.add(name)
+        when = max(self.now, self.rounds.get(name, 0.0) + LEAST_PAUSE_S)
+        self.at(when, self._borrow_at_once, name)
 
     def _send_at_once(self, name, work):
         """Choose like a balancer that knows nothing of slots."""
@@ -373,6 +381,8 @@
         else:
             steering.finish(grant, self.now, answered=True)
             self._deliver(name, steering.pump(self.service, self.now))
+            if steering.ledger.borrowed:
+                self._borrow_soon(name)
         entry = self.requests.pop(request_id, None)
         if entry is None or entry[4] is None:
             return
@@ -426,6 +436,7 @@
 
     def _lend_round(self, name):
         steering = self.steerings[name]
+        self.rounds[name] = self.now
         self._extend(name)
         for wish in wishes(steering, self.now):
             self._ask(name, wish)
--- a/quetzalwall/process/admission.py
+++ b/quetzalwall/process/admission.py
@@ -95,6 +95,9 @@
         if not answered:
             gevent.spawn_later(CANCEL_MARGIN_S, self._release, grant)
         self.deliver(self.steering.pump(grant.work.service, now))
+        if self.steering.ledger.borrowed and self.on_shortage is not None:
+            # A borrowed slot that is free now may be needed by its lender.
+            self.on_shortage()
 
     def cancel(self, grant):
         """Free a slot whose request was cancelled by this instance.
--- a/quetzalwall/process/lending.py
+++ b/quetzalwall/process/lending.py
@@ -13,6 +13,7 @@
 __all__ = ["Wish", "headroom_units", "loans_to_return", "units_to_lend", "wishes"]
 
 HEADROOM_FRACTION = 0.2  # of the units in use, kept free for the next requests
+NEAR_HEADROOM = 1  # free units kept before a loan from the own region is returned
 REMOTE_WAIT_S = 0.1
 KEEP_FRACTION = 0.2  # of the lender's recent peak, kept beyond it
 
@@ -121,11 +122,17 @@
             kept = _shift_regions(steering, service)
             keys = {k for k in service.keys(kind) if service.region_of(k) not in kept}
             free = _free(steering, service, kind, now)
-            spare = free - headroom_units(steering, service, kind) - 1
+            headroom = headroom_units(steering, service, kind)
             for loan in sorted(steering.ledger.borrowed.values()):
+                if not keys.issuperset(loan.units):
+                    continue
+                near = steering.region == service.region_of(next(iter(loan.units)))
+                # A near slot can be had again within milliseconds, and a borrowed
+                # one that is free here helps nobody.
+                kept = min(NEAR_HEADROOM, headroom) if near else headroom
                 size = sum(loan.units.values())
-                if keys.issuperset(loan.units) and size <= spare:
-                    spare -= size
+                if size <= free - kept:
+                    free -= size
                     found.append(loan.loan_id)
     return found
 
--- a/quetzalwall/process/placement.py
+++ b/quetzalwall/process/placement.py
@@ -1,6 +1,11 @@
 """Choose a region, an endpoint and a slot for one request."""
 
-from quetzalwall.process.loads import expected_s, is_slow, record_start
+from quetzalwall.process.loads import (
+    SLOW_RATIO,
+    expected_s,
+    is_slow,
+    record_start,
+)
 from quetzalwall.process.service_state import group_name
 from quetzalwall.process.shift_rules import count_move, shift_between, shift_for
 from quetzalwall.request.work import Grant
@@ -94,7 +99,11 @@
 
 def _worth(service, work, endpoint, now):
     """Return whether a request waited long enough for a slower endpoint."""
-    extra_s = expected_s(service.loads[endpoint], now) - service.typical
+    expected = expected_s(service.loads[endpoint], now)
+    if expected < SLOW_RATIO * service.typical:
+        # An open request this old is common among exponential durations.
+        expected = service.loads[endpoint]["ewma_s"]
+    extra_s = expected - service.typical
     if extra_s < service.typical:
         return True
     return now - work.arrived >= WORSE_WAIT_FRACTION * extra_s
--- a/quetzalwall/version/shares.py
+++ b/quetzalwall/version/shares.py
@@ -147,11 +147,13 @@
         return shares
     _divide_shifts(cfg, shares)
     _divide_links(cfg, shares)
-    counts = dict.fromkeys(shares, 0)
+    held = {}  # service, region and kind to the units of each instance
     for service in sorted(cfg["services"]):
         endpoints = cfg["services"][service]["endpoints"]
         for key, units in sorted(slot_totals(cfg, service).items()):
-            region = endpoints[key.rsplit("/", 1)[0]]["region"]
+            endpoint, kind = key.rsplit("/", 1)
+            region = endpoints[endpoint]["region"]
+            counts = held.setdefault((service, region, kind), dict.fromkeys(shares, 0))
             owners = _owners(cfg, region)
             start = xxhash.xxh32_intdigest(key.encode()) % len(owners)
             order = owners[start:] + owners[:start]
@@ -216,8 +218,8 @@
 
 
 def _next_owner(shares, counts, order, key):
-    """Return the instance with the fewest units of a key, then of all keys."""
-    return min(order, key=lambda name: (shares[name].units.get(key, 0), counts[name]))
+    """Return the instance with the fewest units of the group, then of the key."""
+    return min(order, key=lambda name: (counts[name], shares[name].units.get(key, 0)))
 
 
 def _give(share, key, count):
