Spread settled versions with membership; avoid endpoints that fail fast

Cause: versions obeyed were told to direct neighbours only, so that more than 7 instances never used an increase; and an endpoint that refuses at once had a short mean duration, so that it was used as soon as the others were busy. Found by: a test of steering with one failing endpoint, which used it; now it waits.

--- a/quetzalwall/process/membership.py
+++ b/quetzalwall/process/membership.py
@@ -36,10 +36,13 @@
         Grows when the member restarts or contradicts a report of its death.
     state : str
         ``"live"``, ``"leaving"`` or ``"dead"``.
+    settled : int
+        Newest version of the configuration that the member obeys, as far as known.
     """
 
     incarnation: int
     state: str
+    settled: int = 0
 
 
 class Membership:
@@ -132,7 +135,7 @@
         Returns
         -------
         dict of str to list
-            Member to incarnation and state.
+            Member to incarnation, state and settled version.
         """
         message = {self.instance: list(self.members[self.instance])}
         for name in list(self._spread):
@@ -260,7 +263,7 @@
             return False
         if any(silence <= SUSPECT_S for silence in silences):
             return False
-        self._set(name, MemberState(self.members[name].incarnation, DEAD))
+        self._set(name, self.members[name]._replace(state=DEAD))
         return True
 
     def set_own_state(self, state):
@@ -272,7 +275,20 @@
             ``"live"`` or ``"leaving"``.
         """
         own = self.members[self.instance]
-        self._set(self.instance, MemberState(own.incarnation, state))
+        self._set(self.instance, own._replace(state=state))
+
+    def set_settled(self, version):
+        """Note the newest version that this instance obeys.
+
+        Parameters
+        ----------
+        version : int
+            Smaller versions than before are ignored: what is obeyed once is obeyed
+            for the life of the process.
+        """
+        own = self.members[self.instance]
+        if version > own.settled:
+            self._set(self.instance, own._replace(settled=version))
 
     def note_listed(self, listed):
         """Take in the platform's list, which lags.
@@ -290,7 +306,7 @@
         for name, state in listed.items():
             member = self.members.get(name)
             if state == LEAVING and member is not None and member.state == LIVE:
-                self._set(name, MemberState(member.incarnation, LEAVING))
+                self._set(name, member._replace(state=LEAVING))
 
     def _watched(self):
         return [
@@ -308,8 +324,14 @@
         worse = told.incarnation == known.incarnation and (
             _SEVERITY[told.state] > _SEVERITY[known.state]
         )
+        same = told.incarnation == known.incarnation
+        if same and told.settled > known.settled:
+            known = known._replace(settled=told.settled)
+            self._set(name, known)
         if not newer and not worse:
             return False
+        if same:
+            told = told._replace(settled=known.settled)
         if told.state != DEAD:
             self._heard[name] = max(self._heard[name], now)
         self._set(name, told)
@@ -320,7 +342,7 @@
         own = self.members[self.instance]
         if told.state != DEAD or told.incarnation < own.incarnation:
             return False
-        self._set(self.instance, MemberState(told.incarnation + 1, own.state))
+        self._set(self.instance, own._replace(incarnation=told.incarnation + 1))
         return True
 
     def _set(self, name, state):
--- a/quetzalwall/process/node.py
+++ b/quetzalwall/process/node.py
@@ -149,7 +149,6 @@
             changes=self.membership.changes(),
             held=self.keeper.held_version(),
             in_force=self.keeper.in_force_version(),
-            settled=self.shares.settled_version(self.clock.monotonic()),
             roster=self.roster_digest(),
             vouch=vouch,
         )
@@ -191,7 +190,10 @@
         self._versions[message.sender] = message.held
         known = self.holders.running.get(message.sender)
         self.record_outdated |= known != message.process
-        self.shares.note_settled(message.sender, message.settled)
+        for name in message.changes:
+            if name in self.membership.members:
+                settled = self.membership.members[name].settled
+                self.shares.note_settled(name, settled)
         if message.vouch and message.roster == self.roster_digest():
             self.holders.vouched(asked_at, now)
             self.ledger.lease_until = self.holders.lease_until
@@ -276,6 +278,7 @@
         """Refresh what depends on time."""
         now = self.clock.monotonic()
         self.shares.refresh(now)
+        self.membership.set_settled(self.shares.settled_version(now))
         self.endpoints.refresh(now)
         self.advance()
 
@@ -291,6 +294,20 @@
         heir = self.holders.heir_of(self.name)
         return targets if heir is None else targets | {heir}
 
+    def gossip_target(self):
+        """Return an instance beyond the regular targets, for changes to reach all soon.
+
+        Returns
+        -------
+        str or None
+            None if there is none beyond.
+        """
+        known = self.heartbeat_targets() | {self.name}
+        others = [
+            n for n in self.roster() if n not in known and self.membership.alive(n)
+        ]
+        return self.rng.choice(others) if others else None
+
     def roster_digest(self):
         """Return a digest of the list of instances.
 
--- a/quetzalwall/process/peer_messages.py
+++ b/quetzalwall/process/peer_messages.py
@@ -15,9 +15,9 @@
     "maxProperties": 8192,
     "additionalProperties": {
         "type": "array",
-        "prefixItems": [_COUNT, {"enum": ["live", "leaving", "dead"]}],
-        "minItems": 2,
-        "maxItems": 2,
+        "prefixItems": [_COUNT, {"enum": ["live", "leaving", "dead"]}, _COUNT],
+        "minItems": 3,
+        "maxItems": 3,
     },
 }
 _HEARTBEAT = jsonschema.Draft202012Validator(
@@ -29,7 +29,6 @@
             "changes": _CHANGES,
             "held": _COUNT,
             "in_force": _COUNT,
-            "settled": _COUNT,
             "roster": _NAME,
             "vouch": {"type": "boolean"},
         },
@@ -39,7 +38,6 @@
             "changes",
             "held",
             "in_force",
-            "settled",
             "roster",
         ],
     }
@@ -79,8 +77,8 @@
     process : int
         Incarnation under which the sender is on record.
     changes : dict of str to list
-        Member to incarnation and state.
-    held, in_force, settled : int
+        Member to incarnation, state and settled version.
+    held, in_force : int
         Versions of the configuration at the sender.
     roster : str
         Digest of the sender's list of instances.
@@ -93,7 +91,6 @@
     changes: dict
     held: int
     in_force: int
-    settled: int
     roster: str
     vouch: bool = False
 
--- a/quetzalwall/process/peers.py
+++ b/quetzalwall/process/peers.py
@@ -114,6 +114,9 @@
             self._heartbeat_tasks[name] = repeat(step, HEARTBEAT_S)
         for name in set(self._heartbeat_tasks) - targets:
             self._heartbeat_tasks.pop(name).kill(block=False)
+        beyond = self._node.gossip_target()
+        if beyond is not None:
+            gevent.spawn(self._send_heartbeat, beyond)
 
     def _send_heartbeat(self, name):
         asked_at = self._node.clock.monotonic()
--- a/quetzalwall/process/placement.py
+++ b/quetzalwall/process/placement.py
@@ -99,10 +99,14 @@
 
 def _worth(service, work, endpoint, now):
     """Return whether a request waited long enough for a slower endpoint."""
-    expected = expected_s(service.loads[endpoint], now)
-    if expected < SLOW_RATIO * service.typical:
+    load = service.loads[endpoint]
+    expected = expected_s(load, now)
+    if load["slow"]:
+        # One that refuses or fails at once looks fast.
+        expected = max(expected, load["penalty_s"])
+    elif expected < SLOW_RATIO * service.typical:
         # An open request this old is common among exponential durations.
-        expected = service.loads[endpoint]["ewma_s"]
+        expected = load["ewma_s"]
     extra_s = expected - service.typical
     if extra_s < service.typical:
         return True
--- a/quetzalwall/process/share_keeper.py
+++ b/quetzalwall/process/share_keeper.py
@@ -11,6 +11,7 @@
 __all__ = ["ShareKeeper", "create_share_keeper"]
 
 DEFAULT_HOLD_S = 1.0
+_EMPTY = Share({}, {})
 
 
 class ShareKeeper:
@@ -38,6 +39,7 @@
         self._unsettled = set()
         self._hold_s = {}
         self._quiet_since = {}
+        self._regions = {}
         self._stopped = set()
 
     def configure(self, configuration, hold_s, now):
@@ -54,11 +56,12 @@
         """
         cfg = configuration.merged
         division = divide_slots(cfg)
+        self._regions = {n: spec["region"] for n, spec in cfg["instances"].items()}
         names = set(division) | set(self._division)
         if division != self._division:
             self._older.append(self._division)
-            self._unsettled |= names - {self._holders.instance}
-        self._division = division
+            self._division = division
+            self._unsettled |= {name for name in names if self._shares_units(name)}
         self._hold_s = dict(hold_s)
         for name, shift in cfg["shifts"].items():
             self._hold_s[f"shift/{name}"] = shift["interval_s"]
@@ -192,16 +195,31 @@
 
     def _least_share(self, name):
         """Return the least of a share under all divisions still followed."""
-        empty = Share({}, {})
-        least = self._division.get(name, empty)
+        least = self._division.get(name, _EMPTY)
         for division in self._older:
-            other = division.get(name, empty)
+            other = division.get(name, _EMPTY)
             least = Share(
                 _minimum(least.units, other.units),
                 _minimum(least.reserve, other.reserve),
             )
         return least
 
+    def _shares_units(self, name):
+        """Return whether units may move between another instance and this one."""
+        own = self._holders.instance
+        if name == own:
+            return False
+        divisions = [*self._older, self._division]
+        if not all(divisions) and self._regions.get(name) == self._regions.get(own):
+            # A process that starts does not know what others followed before.
+            return True
+        return any(
+            division.get(own, _EMPTY).units.keys()
+            & other.get(name, _EMPTY).units.keys()
+            for division in divisions
+            for other in divisions
+        )
+
     def _hold(self, key):
         return self._hold_s.get(key, DEFAULT_HOLD_S)
 
