--- a/quetzalwall/process/placement.py
+++ b/quetzalwall/process/placement.py
@@ -87,21 +87,21 @@
             good.append(endpoint)
     if good:
         endpoint = service.policy(good, service.loads, now, steering.rng)
-        if avoid is None and not _worth(service, work, endpoint, now):
+        if avoid is None and not _worth(service, work, endpoint, now, avoidable):
             return None
         return take(steering, service, work, endpoint, now, "fastest", of)
     if worse and avoid is None:
         endpoint = service.policy(worse, service.loads, now, steering.rng)
-        if _worth(service, work, endpoint, now):
+        if _worth(service, work, endpoint, now, avoidable):
             return take(steering, service, work, endpoint, now, "only slow", of)
     return None
 
 
-def _worth(service, work, endpoint, now):
+def _worth(service, work, endpoint, now, avoidable):
     """Return whether a request waited long enough for a slower endpoint."""
     load = service.loads[endpoint]
     expected = expected_s(load, now)
-    if load["slow"]:
+    if load["slow"] and avoidable:
         # One that refuses or fails at once looks fast.
         expected = max(expected, load["penalty_s"])
     elif expected < SLOW_RATIO * service.typical:
