--- a/demo/deployment.py
+++ b/demo/deployment.py
@@ -30,7 +30,7 @@
     """
 
     def __init__(self, example, logs):
-        self.folder = ROOT / "examples" / example
+        self.folder = ROOT / "examples" / example  # an absolute path stays as it is
         self.logs = logs
         self.tree = json.loads((self.folder / "tree.json").read_text())
         self.instances = {
--- /dev/null
+++ b/quetzalwall/cli/tests/test_cli.py
@@ -0,0 +1,125 @@
+"""Commands as an operator runs them, in a thread beside a running deployment."""
+
+import contextlib
+import io
+import json
+import tempfile
+
+import gevent
+
+from quetzalwall.cli.main import main
+from quetzalwall.process.tests.test_entry import with_credential
+from quetzalwall.tests.fixtures import make_tree, small_deployment
+
+
+def run(*arguments):
+    """Return exit status, standard output and standard error of a command."""
+    out, err = io.StringIO(), io.StringIO()
+    with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+        try:
+            status = main(list(arguments))
+        except SystemExit as exc:
+            status = exc.code
+    return status, out.getvalue(), err.getvalue()
+
+
+@contextlib.contextmanager
+def file_with(document):
+    with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+        file.write(document if isinstance(document, str) else json.dumps(document))
+        file.flush()
+        yield file.name
+
+
+def place(deployment):
+    return "{}:{}".format(*deployment.place("east-1"))
+
+
+def test_check_names_every_fault_and_exits_with_2():
+    tree = make_tree()
+    tree["desk"]["services"]["desk"]["polcy"] = "x"
+    tree["network"]["lookup"]["ttl_s"] = -1
+    with file_with(tree) as name:
+        status, _, err = run("settings", "check", name)
+    assert status == 2
+    assert (
+        f'{name}: /desk/services/desk/polcy: unknown key; nearest known key is "policy"'
+        in err
+    )
+    assert "/network/lookup/ttl_s" in err
+    with file_with(make_tree()) as name:
+        assert run("settings", "check", name)[0] == 0
+
+
+def test_entry_check_refuses_a_wrong_file():
+    with file_with({"instance": "a", "adress": "127.0.0.1"}) as name:
+        status, _, err = run("entry", "--settings", name, "--check")
+    assert status == 2
+    assert 'unknown key; nearest known key is "address"' in err
+
+
+def test_unreachable_instance_and_wrong_arguments():
+    status, _, err = run("status", "--instance", "127.0.0.1:9")
+    assert (status, "no instance answered" in err) == (1, True)
+    assert run("status", "--instance", "nowhere")[0] == 2
+    assert run("settings")[0] == 2
+
+
+def test_commands_of_a_session():
+    with small_deployment(names=["east-1"]) as deployment:
+        with_credential(deployment)
+        common = ["--instance", place(deployment)]
+        with file_with("c") as credential, file_with("no") as other:
+            team = ["--team", "desk", "--credential-file", credential]
+            status, out, _ = run("lookup", "desk", *common)
+            assert (status, "east-1" in out) == (0, True)
+            status, out, err = run("settings", "show", "--team", "desk", *common)
+            assert (status, err.strip()) == (0, "version 1")
+            subtree = json.loads(out)
+            assert run("drain", "east-ep1", *team, *common)[0] == 0
+            _wait(deployment, 3)
+            with file_with(subtree) as name:
+                put = ["settings", "put", *team, "--base", "1", name, *common]
+                status, out, err = run(*put)
+                assert (status, "made from version 1, now 2" in out) == (3, True)
+                diff = ["settings", "diff", "--team", "desk", name, *common]
+                status, out, _ = run(*diff)
+                assert (status, "leaving" in out) == (1, True)
+            wrong = ["--team", "desk", "--credential-file", other]
+            assert run("drain", "east-ep1", *wrong, *common)[0] == 1
+            shift = ["shift", "start", "m", "--service", "desk", "--from", "east"]
+            shift += ["--to", "west", "--fraction", "0.5", "--cap", "5"]
+            assert run(*shift, *team, *common)[0] == 0
+            _wait(deployment, 4)
+            status, out, _ = run("shift", "status", "--json", *common)
+            assert json.loads(out)[0]["target"] == 0.5
+            assert run("shift", "stop", "m", *team, *common)[0] == 0
+            assert run("shift", "stop", "nope", *team, *common)[0] == 1
+            status, out, _ = run("settings", "history", "--json", *common)
+            assert [row["team"] for row in json.loads(out)] == ["desk"] * 3
+
+
+def test_wait_tells_stored_from_in_force():
+    with small_deployment(names=["east-1"]) as deployment:
+        with_credential(deployment)
+        common = ["--instance", place(deployment), "--wait", "--wait-s", "2"]
+        with file_with("c") as credential:
+            team = ["--team", "desk", "--credential-file", credential]
+            status, out, err = run("drain", "east-ep1", *team, *common)
+        assert "accepted as version 3" in err
+        assert "in force" in out and "no answer" in out
+        assert status == 4
+
+
+def test_status_shows_instances_and_headroom():
+    with small_deployment(names=["east-1"]) as deployment:
+        status, out, _ = run("status", "--instance", place(deployment))
+        assert status == 4
+        assert "100%" in out
+
+
+def _wait(deployment, version):
+    node = deployment.entries["east-1"].node
+    with gevent.Timeout(5):
+        while node.keeper.in_force_version() < version:
+            gevent.sleep(0.02)
