Let only an heir that was asked take a share over; confirm unclean starts by all

Cause, found by widening the search of test_holders to clean stops: (1) a process that newly registers becomes the heir of one that does not know it and is vouched for by another; (2) an unclean process that stopped cleanly let the next one use the reserve that a still older one may hold. Now an heir takes over only who has asked it; a vouch counts only from the own heir; an unclean start waits until every member of its region has it on record; a process that started unclean does not leave the record until earlier rights have run out. A share whose holder and heir die together stays unused until one returns.

--- a/quetzalwall/process/entry.py
+++ b/quetzalwall/process/entry.py
@@ -239,6 +239,8 @@
                 self.store_tasks.read_holders()
                 if not holders.registered():
                     return True
+                if not holders.leaves_nothing(self._clock.monotonic()):
+                    return False
                 if self.store_tasks.write_holders(holders.unregister()):
                     return True
             except StoreError as exc:
--- a/quetzalwall/process/holders.py
+++ b/quetzalwall/process/holders.py
@@ -60,6 +60,8 @@
         self.lease_until = NEVER
         self.unclean = True
         self._confirmed_at = None
+        self._known_to = set()
+        self._asked_by = set()
         self._taking = set()
         self.set_roster(roster)
 
@@ -110,8 +112,9 @@
             self.lease_until = NEVER
         elif self.holds_own():
             self.lease_until = max(self.lease_until, asked_at + LEASE_S)
-            if self.heir_of(self.instance) is None:
-                self._confirm(now)
+            self._confirm(now)
+        if not self.holds_own():
+            self._asked_by.clear()
         return changed
 
     def registered(self):
@@ -184,6 +187,9 @@
     def may_vouch(self, name, incarnation, now):
         """Return whether this instance can say that a share was not taken over.
 
+        A process that asked its heir and was answered knows this instance as its heir,
+        which `take_over` requires.
+
         Parameters
         ----------
         name : str
@@ -197,27 +203,73 @@
         -------
         bool
         """
-        return (
-            self.running.get(name) == incarnation
+        vouch = (
+            self.knows(name, incarnation)
             and self._in_place(name)
             and name not in self._taking
             and self.heir_of(name) == self.instance
             and now < self.lease_until
         )
+        if vouch:
+            self._asked_by.add((name, incarnation))
+        return vouch
+
+    def knows(self, name, incarnation):
+        """Return whether a process is the one on record for its instance.
+
+        Parameters
+        ----------
+        name : str
+            The instance.
+        incarnation : int
+            Its process.
+
+        Returns
+        -------
+        bool
+        """
+        return self.running.get(name) == incarnation
+
+    def known_to(self, name, now):
+        """Note that a member of the region has this process on its record.
+
+        Parameters
+        ----------
+        name : str
+            The member, which from now on vouches for no earlier process.
+        now : float
+            Monotonic seconds.
+        """
+        self._known_to.add(name)
+        self._confirm(now)
 
-    def vouched(self, asked_at, now):
+    def unconfirmed(self):
+        """Return the members that must have this process on record and may not yet.
+
+        Returns
+        -------
+        list of str
+            Empty once the time counts after which an unclean start uses its share.
+        """
+        if self._confirmed_at is not None:
+            return []
+        ring = self._rings.get(self.instance, [])
+        needed = {name for name in ring if self._in_place(name)}
+        return sorted(needed - self._known_to - {self.instance})
+
+    def vouched(self, name, asked_at):
         """Renew the lease after a vouch of the heir.
 
         Parameters
         ----------
+        name : str
+            Who vouched; only the heir counts.
         asked_at : float
             Monotonic seconds at which the question was sent.
-        now : float
-            Monotonic seconds at which the vouch arrived.
         """
-        if self.registered() and self.holds_own():
+        heir = self.heir_of(self.instance)
+        if self.registered() and self.holds_own() and name == heir:
             self.lease_until = max(self.lease_until, asked_at + LEASE_S)
-            self._confirm(now)
 
     def register(self):
         """Return the row in which this process is on record.
@@ -229,6 +281,22 @@
         self.unclean = self.instance in self.running
         return self._row(running={**self.running, self.instance: self.incarnation})
 
+    def leaves_nothing(self, now):
+        """Return whether no right of this instance is left when this process ends.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        bool
+            False after an unclean start, until the rights of the earlier process have
+            run out: `unregister` would let the next process use them at once.
+        """
+        return not self.unclean or self.reserve_usable(0.0, now)
+
     def unregister(self):
         """Return the row that says that nothing of this process is left.
 
@@ -257,6 +325,10 @@
             return None
         if self.holder_of(dead) != dead or self._settling(now):
             return None
+        process = (dead, self.running.get(dead))
+        if dead in self.running and process not in self._asked_by:
+            # It may not know its heir, and be vouched for by another.
+            return None
         # From here on no vouch may reach the dead instance, should it come back.
         self._taking.add(dead)
         ring = self._rings[dead]
@@ -324,7 +396,9 @@
         return self._confirmed_at if name == self.instance else self.usable_from[name]
 
     def _confirm(self, now):
-        if self._confirmed_at is None:
+        """Begin to count the time after which an unclean start uses its share."""
+        waits = self.registered() and self.holds_own() and not self.unconfirmed()
+        if waits and self._confirmed_at is None:
             self._confirmed_at = now
 
     def _in_place(self, name):
--- a/quetzalwall/process/node.py
+++ b/quetzalwall/process/node.py
@@ -131,13 +131,15 @@
         )
         self.keeper.advance(versions, live)
 
-    def heartbeat(self, vouch=False):
+    def heartbeat(self, vouch=False, known=False):
         """Return the message that tells a peer about this instance.
 
         Parameters
         ----------
         vouch : bool, default=False
             Whether this instance vouches for the receiver's lease.
+        known : bool, default=False
+            Whether this instance has the receiver's process on its record.
 
         Returns
         -------
@@ -151,6 +153,7 @@
             in_force=self.keeper.in_force_version(),
             roster=self.roster_digest(),
             vouch=vouch,
+            known=known,
         )
 
     def answer_heartbeat(self, message):
@@ -166,10 +169,11 @@
         Heartbeat
         """
         now = self.clock.monotonic()
-        self.hear(message._replace(vouch=False), now)
+        self.hear(message._replace(vouch=False, known=False), now)
         same = message.roster == self.roster_digest()
         vouch = self.holders.may_vouch(message.sender, message.process, now)
-        return self.heartbeat(same and vouch)
+        known = self.holders.knows(message.sender, message.process)
+        return self.heartbeat(same and vouch, known)
 
     def hear(self, message, asked_at):
         """Take in a heartbeat or the answer to one.
@@ -194,8 +198,10 @@
             if name in self.membership.members:
                 settled = self.membership.members[name].settled
                 self.shares.note_settled(name, settled)
+        if message.known:
+            self.holders.known_to(message.sender, now)
         if message.vouch and message.roster == self.roster_digest():
-            self.holders.vouched(asked_at, now)
+            self.holders.vouched(message.sender, asked_at)
             self.ledger.lease_until = self.holders.lease_until
             self.ledger.reserve_until = self.holders.lease_until + RESERVE_S
         self.advance()
@@ -288,11 +294,14 @@
         Returns
         -------
         set of str
-            Its sponsors, and its heir, whose vouch renews the lease.
+            Its sponsors, its heir, whose vouch renews the lease, and at the start
+            those that must learn of its registration.
         """
         targets = set(self.membership.targets())
         heir = self.holders.heir_of(self.name)
-        return targets if heir is None else targets | {heir}
+        if heir is not None:
+            targets.add(heir)
+        return targets | set(self.holders.unconfirmed())
 
     def gossip_target(self):
         """Return an instance beyond the regular targets, for changes to reach all soon.
--- a/quetzalwall/process/peer_messages.py
+++ b/quetzalwall/process/peer_messages.py
@@ -31,6 +31,7 @@
             "in_force": _COUNT,
             "roster": _NAME,
             "vouch": {"type": "boolean"},
+            "known": {"type": "boolean"},
         },
         "required": [
             "sender",
@@ -84,6 +85,8 @@
         Digest of the sender's list of instances.
     vouch : bool
         Whether the sender vouches for the receiver's lease.
+    known : bool
+        Whether the sender has the receiver's process on its record.
     """
 
     sender: str
@@ -93,6 +96,7 @@
     in_force: int
     roster: str
     vouch: bool = False
+    known: bool = False
 
 
 class LoanRequest(NamedTuple):
--- a/quetzalwall/process/store_tasks.py
+++ b/quetzalwall/process/store_tasks.py
@@ -91,11 +91,12 @@
             Whether the write took effect for sure.
         """
         version = self._node.holders.version
+        # A committed write shows the row as of a moment after it was sent, like a read.
+        asked_at = self._node.clock.monotonic()
         result = self._table.txn({HOLDERS_KEY: version}, {HOLDERS_KEY: value})
         if result.committed:
-            asked_at = self._node.clock.monotonic()
             row = Row(result.versions[HOLDERS_KEY], value)
-            self._node.learn_holders(row, asked_at - LEASE_S)
+            self._node.learn_holders(row, asked_at)
         return result.committed
 
     def read_holders(self):
--- a/quetzalwall/process/tests/test_holders.py
+++ b/quetzalwall/process/tests/test_holders.py
@@ -63,14 +63,16 @@
     @rule(place=st.integers(0, 50), other=st.integers(0, 50))
     def ask_for_vouch(self, place, other):
         asker, heir = self.pick(place), self.pick(other)
+        if heir.knows(asker.instance, asker.incarnation):
+            asker.known_to(heir.instance, self.now)
         if heir.may_vouch(asker.instance, asker.incarnation, self.now):
-            self.vouches.append((asker, self.now))
+            self.vouches.append((asker, heir.instance, self.now))
 
     @rule(place=st.integers(0, 50))
     def deliver_vouch(self, place):
         if self.vouches:
-            asker, asked_at = self.vouches.pop(place % len(self.vouches))
-            asker.vouched(asked_at, self.now)
+            asker, heir, asked_at = self.vouches.pop(place % len(self.vouches))
+            asker.vouched(heir, asked_at)
 
     @rule(place=st.integers(0, 50), dead=NAMES, lost=st.booleans())
     def take_over(self, place, dead, lost):
@@ -89,6 +91,18 @@
                 self.write(process, process.give_back(owner))
                 return
 
+    @rule(place=st.integers(0, 50))
+    def stop_cleanly(self, place):
+        """Let a process that uses nothing leave the record, and end."""
+        process = self.pick(place)
+        alone = process.held_shares() == [process.instance]
+        if process.registered() and alone and process.leaves_nothing(self.now):
+            self.write(process, process.unregister())
+            if not process.registered():
+                self.processes.remove(process)
+                if not self.processes:
+                    self.start("i0")
+
     def pick(self, place):
         return self.processes[place % len(self.processes)]
 
@@ -146,9 +160,18 @@
         found.append(process)
     for process in found:
         process.learn(version, value, 0.0, 0.0)
+    ask_heirs(found)
     return found, version, value
 
 
+def ask_heirs(processes):
+    """Let every process ask its heir once, so that it is known as the heir."""
+    by_name = {process.instance: process for process in processes}
+    for process in processes:
+        heir = by_name[process.heir_of(process.instance)]
+        assert heir.may_vouch(process.instance, process.incarnation, 0.5)
+
+
 def test_share_of_the_dead_is_used_only_after_its_rights_ran_out():
     (a, b, _c), version, _ = started("i0", "i1", "i2")
     assert a.heir_of("i0") == "i1"
@@ -165,6 +188,15 @@
     assert c.take_over("i0", 1.0) is None
 
 
+def test_heir_that_was_never_asked_takes_nothing_over():
+    # The member may know another heir, cut off together with it, that vouches for it.
+    (a, b, _c), _, _ = started("i0", "i1", "i2")
+    b._asked_by.clear()
+    assert b.take_over("i0", 1.0) is None
+    assert b.may_vouch("i0", a.incarnation, 1.0)
+    assert b.take_over("i0", 1.0) is not None
+
+
 def test_heir_stops_vouching_before_the_row_is_written():
     (_a, b, _c), _, _ = started("i0", "i1", "i2")
     assert b.may_vouch("i0", 1, 1.0)
@@ -174,7 +206,9 @@
 
 def test_vouch_counts_from_the_question():
     (a, _b, _c), _, _ = started("i0", "i1", "i2")
-    a.vouched(5.0, 5.9)
+    a.vouched("i2", 4.0)
+    assert a.lease_until == LEASE_S
+    a.vouched("i1", 5.0)
     assert a.lease_until == 5.0 + LEASE_S
 
 
@@ -192,6 +226,7 @@
     (_a, b, _c), version, _ = started("i0", "i1", "i2")
     row = b.take_over("i0", 1.0)
     b.learn(version + 1, row, 1.0, 1.0)
+    assert b.may_vouch("i2", 3, 1.0)
     assert b.take_over("i2", 1.0 + LEASE_S - 0.1) is None
-    b.vouched(1.0 + LEASE_S, 1.0 + LEASE_S)
+    b.vouched("i2", 1.0 + LEASE_S)
     assert b.take_over("i2", 1.0 + LEASE_S + LOAN_MARGIN_S + 0.1) is not None
--- a/quetzalwall/tests/fixtures.py
+++ b/quetzalwall/tests/fixtures.py
@@ -175,7 +175,13 @@
 
     def wait_ready(self, name):
         node = self.entries[name].node
-        self.wait(lambda: node.ledger.units and node.holders.registered())
+        self.wait(
+            lambda: (
+                node.ledger.units
+                and node.holders.registered()
+                and node.clock.monotonic() < node.ledger.lease_until
+            )
+        )
 
 
 @contextmanager
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -48,7 +48,7 @@
         self.objects = {}
         self.listing = {"instances": {}, "endpoints": {}}
         self.faults = dict(NO_FAULTS)
-        self.counts = {"txn": 0, "read": 0, "scan": 0, "objects": 0}
+        self.counts = {"txn": 0, "read": 0, "scan": 0, "objects": 0, "refused": 0}
         self.server = create_server(address, port, self._application)
 
     def start(self):
@@ -125,6 +125,7 @@
         if self.faults["slow_s"]:
             gevent.sleep(self.faults["slow_s"])
         if self.faults["table_down"]:
+            self.counts["refused"] += 1
             return 503, {"message": "table is down"}
         if path == "/table/txn":
             return self._txn(body)
