--- a/benchmarks/load_driver.py
+++ b/benchmarks/load_driver.py
@@ -8,24 +8,18 @@
 import heapq
 import itertools
 import random
-from collections import deque
-from typing import NamedTuple
-
-from quetzalwall.process.ledger import Ledger, Loan
-from quetzalwall.process.lending import (
-    Wish,
-    loans_to_return,
-    may_extend,
-    units_to_lend,
-    wishes,
-)
-from quetzalwall.process.peers import (
-    LEAST_PAUSE_S,
-    LOAN_TICK_S,
-    REFUSED_PAUSE_S,
-    REMOTE_PAUSE_FACTOR,
+
+from benchmarks.driver_loans import LoanMessages
+from benchmarks.driver_types import (
+    FOREVER,
+    LOCAL_S,
+    REMOTE_S,
+    FakeEndpoint,
+    Result,
+    Stream,
 )
-from quetzalwall.process.rights import loan_ttl_s
+from quetzalwall.process.ledger import Ledger
+from quetzalwall.process.peers import LOAN_TICK_S
 from quetzalwall.process.steering import create_steering, hold_limits
 from quetzalwall.request.classify import RequestFacts, classify
 from quetzalwall.request.work import Grant
@@ -34,81 +28,7 @@
 __all__ = ["Driver", "Result", "Stream", "run_driver"]
 
 TICK_S = 0.02
-FOREVER = 1e12
-LOCAL_S = 0.0005  # one way within a region
-REMOTE_S = 0.0175  # one way between regions
-
-
-class Stream(NamedTuple):
-    """Requests of one kind.
-
-    Attributes
-    ----------
-    path : str
-        Path, which decides the class.
-    per_s : callable
-        Takes the time; returns the rate over all instances.
-    mean_s : float
-        Mean service time.
-    body_bytes : int
-        Declared length.
-    method : str
-        HTTP method.
-    """
-
-    path: str
-    per_s: object
-    mean_s: float
-    body_bytes: int = 0
-    method: str = "GET"
-
-
-class Result(NamedTuple):
-    """What a run gave.
-
-    Attributes
-    ----------
-    latencies : dict of str to list of (float, float)
-        Path to arrival time and seconds until the answer.
-    refused : dict of str to list of float
-        Path to arrival times of refused requests.
-    busy : list of (float, int)
-        Time and slots in use over all endpoints, sampled at ticks.
-    over_limit : int
-        Requests that found all slots of their endpoint in use.
-    sent : int
-        Requests sent to endpoints, hedges and probes included.
-    moved : list of float
-        Times at which a shift moved a request.
-    shares : list of (float, int, str)
-        Time, slots in use and region, sampled at ticks.
-    """
-
-    latencies: dict
-    refused: dict
-    busy: list
-    over_limit: int
-    sent: int
-    moved: list
-    shares: list
-
-
-class FakeEndpoint:
-    """Endpoint with slots and, for those that overrun them, a queue."""
-
-    def __init__(self, spec):
-        self.slots = spec["slots"]
-        self.region = spec["region"]
-        self.busy = 0
-        self.queue = deque()
-        self.slow = []
-        self.down_at = FOREVER
-
-    def factor(self, now):
-        for begin, end, factor in self.slow:
-            if begin <= now < end:
-                return factor
-        return 1.0
+SAMPLE_S = 0.05
 
 
 class Driver:
@@ -166,15 +86,11 @@
         self.hold_s = hold_limits(self.cfg)
         self._create_steerings(seed)
         self.requests = {}
-        self.loans = {}
-        self.extending = set()
-        self.refused_until = {}
+        self.loans = LoanMessages(self)
         self.result = Result({}, {}, [], 0, 0, [], [])
         self.over_limit = 0
         self.sent = 0
         self.dead = set()
-        self.short = set()
-        self.rounds = {}
 
     def at(self, when, action, *arguments):
         """Run an action at a time.
@@ -207,7 +123,7 @@
         for name in self.steerings:
             self.at(self.rng.random() * TICK_S, self._tick, name)
             if self.sharing == "lending":
-                self.at(self.rng.random() * LOAN_TICK_S, self._lend_tick, name)
+                self.at(self.rng.random() * LOAN_TICK_S, self.loans.lend_tick, name)
         self.at(0.0, self._sample)
         while self.events and self.events[0][0] <= duration_s:
             self.now, _, action, arguments = heapq.heappop(self.events)
@@ -265,18 +181,10 @@
             self._send_at_once(name, work)
             return
         decisions = self.steerings[name].submit(work, self.now)
-        self._deliver(name, decisions)
+        self.deliver(name, decisions)
         waits = not any(d.work.request_id == request_id for d in decisions)
         if waits:
-            self._borrow_soon(name)
-
-    def _borrow_soon(self, name):
-        """Run a round of lending, with the daemon's least pause between two."""
-        if self.sharing != "lending" or name in self.short:
-            return
-        self.short.add(name)
-        when = max(self.now, self.rounds.get(name, 0.0) + LEAST_PAUSE_S)
-        self.at(when, self._borrow_at_once, name)
+            self.loans.borrow_soon(name)
 
     def _send_at_once(self, name, work):
         """Choose like a balancer that knows nothing of slots."""
@@ -289,7 +197,16 @@
         grant = Grant(work, chosen, "", "policy", len(local), 0.0, self.now)
         self._start(name, grant)
 
-    def _deliver(self, name, decisions):
+    def deliver(self, name, decisions):
+        """Act on decisions of one instance.
+
+        Parameters
+        ----------
+        name : str
+            The instance.
+        decisions : list of Grant or Shed
+            Decisions.
+        """
         for decision in decisions:
             if isinstance(decision, Grant):
                 self._granted(name, decision)
@@ -386,9 +303,9 @@
             )
         else:
             steering.finish(grant, self.now, answered=True)
-            self._deliver(name, steering.pump(self.service, self.now))
+            self.deliver(name, steering.pump(self.service, self.now))
             if steering.ledger.borrowed:
-                self._borrow_soon(name)
+                self.loans.borrow_soon(name)
         entry = self.requests.pop(request_id, None)
         if entry is None or entry[4] is None:
             return
@@ -405,7 +322,7 @@
         steering = self.steerings[name]
         if self.sharing != "none":
             steering.finish(grant, self.now, answered=False)
-            self._deliver(name, steering.pump(self.service, self.now))
+            self.deliver(name, steering.pump(self.service, self.now))
         self._refuse(grant.work)
 
     def _refuse(self, work):
@@ -420,7 +337,7 @@
             return
         until = self.paused.get(name, 0.0)
         if self.now >= until and self.sharing != "none":
-            self._deliver(name, self.steerings[name].tick(self.now))
+            self.deliver(name, self.steerings[name].tick(self.now))
         self.at(self.now + TICK_S, self._tick, name)
 
     def _sample(self):
@@ -429,112 +346,7 @@
         for region in self.cfg["regions"]:
             used = sum(e.busy for e in self.endpoints.values() if e.region == region)
             self.result.shares.append((self.now, used, region))
-        self.at(self.now + 0.05, self._sample)
-
-    def _borrow_at_once(self, name):
-        self.short.discard(name)
-        self._lend_round(name)
-
-    def _lend_tick(self, name):
-        if name not in self.dead:
-            self.at(self.now + LOAN_TICK_S, self._lend_tick, name)
-            self._lend_round(name)
-
-    def _lend_round(self, name):
-        steering = self.steerings[name]
-        self.rounds[name] = self.now
-        self._extend(name)
-        for wish in wishes(steering, self.now):
-            self._ask(name, wish)
-        for loan_id in loans_to_return(steering, self.now):
-            loan = steering.ledger.borrowed[loan_id]
-            if loan_id in self.extending:
-                continue
-            if steering.ledger.end_borrowed(loan_id, self.now):
-                delay = self._peer_delay(name, loan.peer)
-                lender = self.steerings[loan.peer].ledger
-                self.at(self.now + delay, self._returned, lender, loan_id)
-
-    def _returned(self, lender, loan_id):
-        lender.end_lent(loan_id, self.now)
-
-    def _ask(self, name, wish):
-        """Ask the peers of a region in turn, as the daemon does."""
-        peers = [
-            peer
-            for peer, spec in self.instances.items()
-            if peer != name and spec["region"] == wish.region and peer not in self.dead
-            if self.refused_until.get((name, peer, wish[:3]), 0.0) <= self.now
-        ]
-        self.rng.shuffle(peers)
-        if peers and (name, wish[:3]) not in self.extending:
-            self.extending.add((name, wish[:3]))
-            self._ask_next(name, wish, peers)
-
-    def _ask_next(self, name, wish, peers):
-        if not peers or wish.count <= 0:
-            self.extending.discard((name, wish[:3]))
-            return
-        delay = self._peer_delay(name, peers[0])
-        asked_at = self.now
-        self.at(self.now + delay, self._lend, name, wish, peers, asked_at)
-
-    def _lend(self, name, wish, peers, asked_at):
-        lender = self.steerings[peers[0]]
-        units = units_to_lend(lender, wish, self.now)
-        loan_id = f"l{next(self.order)}"
-        if units:
-            ttl_s = loan_ttl_s(max(self.hold_s[key] for key in units))
-            lender.ledger.lend(loan_id, name, units, self.now, ttl_s)
-            loan = Loan(loan_id, peers[0], units, asked_at + ttl_s)
-        else:
-            loan = None
-        delay = self._peer_delay(name, peers[0])
-        self.at(self.now + delay, self._borrow, name, wish, peers, loan)
-
-    def _borrow(self, name, wish, peers, loan):
-        count = wish.count
-        if loan is None:
-            near = wish.region == self.instances[name]["region"]
-            pause = REFUSED_PAUSE_S * (1 if near else REMOTE_PAUSE_FACTOR)
-            self.refused_until[name, peers[0], wish[:3]] = self.now + pause
-        else:
-            steering = self.steerings[name]
-            steering.ledger.borrow(loan, self.now)
-            self._deliver(name, steering.pump(self.service, self.now))
-            count -= sum(loan.units.values())
-        self._ask_next(name, wish._replace(count=count), peers[1:])
-
-    def _extend(self, name):
-        for loan in list(self.steerings[name].ledger.borrowed.values()):
-            hold_s = max(self.hold_s[key] for key in loan.units)
-            due = loan.until - self.now <= hold_s + 2.0
-            if (
-                due
-                and loan.loan_id not in self.extending
-                and loan.peer not in self.dead
-            ):
-                self.extending.add(loan.loan_id)
-                delay = self._peer_delay(name, loan.peer)
-                self.at(self.now + delay, self._extended, name, loan, self.now)
-
-    def _extended(self, name, loan, asked_at):
-        self.extending.discard(loan.loan_id)
-        lender = self.steerings[loan.peer].ledger
-        key = next(iter(loan.units))
-        wish = Wish(self.service, key.rsplit("/", 1)[1], "", 0)
-        near = self._peer_delay(name, loan.peer) == LOCAL_S
-        if not may_extend(self.steerings[loan.peer], wish, near):
-            return
-        ttl_s = loan_ttl_s(max(self.hold_s[key] for key in loan.units))
-        again = lender.lend(loan.loan_id, name, loan.units, self.now, ttl_s)
-        if again.units and loan.loan_id in self.steerings[name].ledger.borrowed:
-            extended = Loan(loan.loan_id, loan.peer, again.units, asked_at + ttl_s)
-            self.steerings[name].ledger.borrow(extended, self.now)
-
-    def _peer_delay(self, one, other):
-        same = self.instances[one]["region"] == self.instances[other]["region"]
-        return LOCAL_S if same else REMOTE_S
+        self.at(self.now + SAMPLE_S, self._sample)
 
 
 def run_driver(cfg, service, streams, seed, duration_s, events=(), **options):
--- a/quetzalwall/process/ledger.py
+++ b/quetzalwall/process/ledger.py
@@ -11,9 +11,8 @@
 - without a valid lease only the reserve counts, which no other instance takes over.
 """
 
-from typing import NamedTuple
-
 from quetzalwall.process.indexed_set import IndexedSet
+from quetzalwall.process.loan import Loan
 
 __all__ = ["LOAN_MARGIN_S", "Ledger", "Loan"]
 
@@ -22,27 +21,6 @@
 CLOCK_RATE_MARGIN = 0.01  # a monotonic clock may run this much too fast or too slow
 
 
-class Loan(NamedTuple):
-    """Units lent or borrowed until a moment on this instance's clock.
-
-    Attributes
-    ----------
-    loan_id : str
-        Chosen by the borrower, the same in repeated messages.
-    peer : str
-        The other instance.
-    units : dict of str to int
-        Key to units.
-    until : float
-        Monotonic seconds.
-    """
-
-    loan_id: str
-    peer: str
-    units: dict
-    until: float
-
-
 class Ledger:
     """Accounts of one instance.
 
