Try an endpoint that looks slow again under full load

Cause: at 95% load an endpoint marked slow by chance stayed so: probes are sent only while slots are spare, and a waiting request took it only after half of its penalty, which grows to 8 s, beyond every deadline. Ruled out: loans to other regions (one unit lent), hedges (none sent). A test brings the state about.

--- a/quetzalwall/process/loads.py
+++ b/quetzalwall/process/loads.py
@@ -7,6 +7,7 @@
 from typing import TypedDict
 
 __all__ = [
+    "FIRST_PENALTY_S",
     "SLOW_RATIO",
     "EndpointLoad",
     "create_load",
--- a/quetzalwall/process/placement.py
+++ b/quetzalwall/process/placement.py
@@ -1,6 +1,7 @@
 """Choose a region, an endpoint and a slot for one request."""
 
 from quetzalwall.process.loads import (
+    FIRST_PENALTY_S,
     SLOW_RATIO,
     expected_s,
     is_slow,
@@ -102,8 +103,10 @@
     load = service.loads[endpoint]
     expected = expected_s(load, now)
     if load["slow"] and avoidable:
-        # One that refuses or fails at once looks fast.
-        expected = max(expected, load["penalty_s"])
+        # One that refuses or fails at once looks fast. Its penalty grows with failed
+        # probes, but must not grow past what a waiting request has left: under full
+        # load no probes are sent, and such a request is the only one that can tell.
+        expected = max(expected, FIRST_PENALTY_S)
     elif expected < SLOW_RATIO * service.typical:
         # An open request this old is common among exponential durations.
         expected = load["ewma_s"]
--- a/quetzalwall/process/tests/test_steering.py
+++ b/quetzalwall/process/tests/test_steering.py
@@ -195,3 +195,21 @@
     steering = make_steering({"move": SHIFT | {"state": "stopped"}}, endpoints=1)
     grants = [d for n in range(12) for d in submit(steering, n)]
     assert {grant.endpoint for grant in grants} == {"east-ep1"}
+
+
+def test_endpoint_wrongly_taken_for_slow_is_tried_again_under_full_load():
+    # No probes are sent while no slot is spare; a request that waited must try it.
+    steering = make_steering(regions=("east",), endpoints=4, slots=1)
+    service = steering.services["desk"]
+    for name in service.endpoints:
+        learn(steering, name, 0.02)
+    load = service.loads["east-ep1"]
+    load.update(slow=True, penalty_s=8.0, probe_at=99.0)
+    service.slow.add("east-ep1")
+    for number in range(3):
+        only_grant(submit(steering, number))
+    assert submit(steering, 9) == []
+    grant = only_grant(steering.tick(0.5))
+    assert grant.endpoint == "east-ep1"
+    steering.finish(grant, 0.52, answered=True)
+    assert not len(service.slow)
