--- a/quetzalwall/process/admission.py
+++ b/quetzalwall/process/admission.py
@@ -4,7 +4,7 @@
 """
 
 import gevent
-from gevent.event import AsyncResult
+from gevent.event import AsyncResult, Event
 
 from quetzalwall.exceptions import NotRun
 from quetzalwall.logs import get_logger, log_event
@@ -14,8 +14,9 @@
 
 __all__ = ["Admission", "create_admission"]
 
-TICK_S = 0.02
-IDLE_ROUNDS = 5  # rounds between two looks at the figures while nothing waits
+TICK_S = 0.02  # while requests wait
+BUSY_TICK_S = 0.1  # while some are served
+IDLE_TICK_S = 0.5
 CANCEL_MARGIN_S = 0.25  # an endpoint may need this long to notice a cancellation
 LOG = get_logger("route")
 
@@ -39,12 +40,12 @@
         self._metrics = metrics
         self.on_shortage = None
         self._waiting = {}
+        self._wake = Event()
         self._task = None
-        self._rounds = 0
 
     def start(self):
         """Begin to look at waiting requests regularly."""
-        self._task = repeat(self._tick, TICK_S)
+        self._task = repeat(self._tick, 0.0)
 
     def close(self):
         """Stop; requests that wait are not decided any more."""
@@ -71,8 +72,10 @@
         self._waiting[work.request_id] = result
         try:
             self.deliver(self.steering.submit(work, self._clock.monotonic()))
-            if not result.ready() and self.on_shortage is not None:
-                self.on_shortage()
+            if not result.ready():
+                self._wake.set()
+                if self.on_shortage is not None:
+                    self.on_shortage()
             decision = result.get()
         finally:
             self._waiting.pop(work.request_id, None)
@@ -173,9 +176,13 @@
         self.deliver(self.steering.pump(grant.work.service, now))
 
     def _tick(self):
-        self._rounds += 1
-        if self._rounds % IDLE_ROUNDS and not self.steering.any_waiting():
-            return
+        if self.steering.any_waiting():
+            gevent.sleep(TICK_S)
+        else:
+            ledger = self.steering.ledger
+            busy = ledger.used or ledger.borrowed
+            self._wake.wait(BUSY_TICK_S if busy else IDLE_TICK_S)
+            self._wake.clear()
         self.deliver(self.steering.tick(self._clock.monotonic()))
 
 
