--- a/quetzalwall/process/app.py
+++ b/quetzalwall/process/app.py
@@ -4,7 +4,7 @@
 from urllib.parse import parse_qs
 
 from quetzalwall.connection.http_server import BadRequest, json_answer, read_json
-from quetzalwall.exceptions import CallerError, PeerError
+from quetzalwall.exceptions import BodyTooLong, CallerError, PeerError
 from quetzalwall.logs import get_logger, log_event
 from quetzalwall.process.peer_messages import parse_heartbeat, parse_loan_request
 from quetzalwall.request.answers import OUTCOME_HEADER, status_line
@@ -14,6 +14,7 @@
 
 MAX_PATH_LENGTH = 4096
 LOG = get_logger("lookup")
+REQUESTS_LOG = get_logger("forward")
 
 
 def create_application(entry):
@@ -83,8 +84,19 @@
     with entry.in_flight():
         try:
             answer = entry.forwarder.forward(environ, service, f"/{rest}")
+        except BodyTooLong as exc:
+            body = {"outcome": "unknown", "step": exc.step, "peer": exc.peer}
+            body["message"] = exc.message
+            headers = [(OUTCOME_HEADER, "unknown"), ("Connection", "close")]
+            return json_answer(start_response, 413, body, headers)
         except CallerError as exc:
-            log_event(LOG, "caller-left", "warning", step=exc.step, reason=exc.message)
+            log_event(
+                REQUESTS_LOG,
+                "caller-left",
+                "warning",
+                step=exc.step,
+                reason=exc.message,
+            )
             # The server then closes the connection without an answer.
             raise ConnectionResetError(errno.ECONNRESET, exc.message) from exc
     start_response(status_line(answer.status), answer.headers)
--- a/quetzalwall/process/holders.py
+++ b/quetzalwall/process/holders.py
@@ -12,9 +12,9 @@
 gives the argument that two processes never use one share.
 """
 
+from quetzalwall.process.holders_record import HoldersRecord, without
 from quetzalwall.process.ledger import CLOCK_RATE_MARGIN, LOAN_MARGIN_S
 from quetzalwall.process.rights import LEASE_S, RESERVE_S, wait_after_s
-from quetzalwall.process.ring import ring_order, successors
 
 __all__ = ["HOLDERS_KEY", "Holders", "create_holders"]
 
@@ -22,7 +22,7 @@
 NEVER = float("-inf")
 
 
-class Holders:
+class Holders(HoldersRecord):
     """The record of holders as one process knows it.
 
     Parameters
@@ -36,12 +36,6 @@
 
     Attributes
     ----------
-    version : int
-        Version of the row last read.
-    record : dict of str to str
-        Instance to holder, for shares that another holds.
-    running : dict of str to int
-        Instance to incarnation of the process that registered last.
     usable_from : dict of str to float
         Share held to the moment from which earlier rights run out.
     lease_until : float
@@ -51,35 +45,16 @@
     """
 
     def __init__(self, instance, incarnation, roster):
-        self.instance = instance
+        super().__init__(instance, roster)
         self.incarnation = incarnation
-        self.version = 0
-        self.record = {}
-        self.running = {}
         self.usable_from = {}
         self.lease_until = NEVER
         self.unclean = True
+        self._was_registered = False
         self._confirmed_at = None
         self._known_to = set()
         self._asked_by = set()
         self._taking = set()
-        self.set_roster(roster)
-
-    def set_roster(self, roster):
-        """Take over the instances of another version of the configuration.
-
-        Parameters
-        ----------
-        roster : dict of str to dict
-            Instance to settings with ``region`` and ``domain``.
-        """
-        regions = {}
-        for name, spec in roster.items():
-            regions.setdefault(spec["region"], {})[name] = spec
-        self._rings = {}
-        for members in regions.values():
-            order = ring_order(members)
-            self._rings.update(dict.fromkeys(order, order))
 
     def learn(self, version, value, asked_at, now):
         """Take in the row as read from the table.
@@ -108,6 +83,7 @@
         self.running = dict((value or {}).get("running", {}))
         self._taking.clear()
         self._update_held(now)
+        self._was_registered |= self.registered()
         if not self.registered():
             self.lease_until = NEVER
         elif self.holds_own():
@@ -133,21 +109,8 @@
         -------
         bool
         """
-        return self.running.get(self.instance, 0) > self.incarnation
-
-    def holder_of(self, name):
-        """Return who holds an instance's share.
-
-        Parameters
-        ----------
-        name : str
-            The instance.
-
-        Returns
-        -------
-        str
-        """
-        return self.record.get(name, name)
+        later = self.running.get(self.instance, 0) > self.incarnation
+        return later and self._was_registered
 
     def holds_own(self):
         """Return whether this instance holds its own share.
@@ -158,32 +121,6 @@
         """
         return self.holder_of(self.instance) == self.instance
 
-    def held_shares(self):
-        """Return the instances whose shares this one holds.
-
-        Returns
-        -------
-        list of str
-        """
-        ring = self._rings.get(self.instance, [])
-        return [name for name in ring if self.holder_of(name) == self.instance]
-
-    def heir_of(self, name):
-        """Return the one instance that may take over a share.
-
-        Parameters
-        ----------
-        name : str
-            The holder of the share.
-
-        Returns
-        -------
-        str or None
-            The next instance of its region that runs and holds its own share.
-        """
-        found = successors(self._rings.get(name, []), name, 1, self._in_place)
-        return found[0] if found else None
-
     def may_vouch(self, name, incarnation, now):
         """Return whether this instance can say that a share was not taken over.
 
@@ -279,6 +216,10 @@
         dict
         """
         self.unclean = self.instance in self.running
+        if not self._was_registered:
+            # The wall clock that numbers processes may have been set back.
+            earlier = self.running.get(self.instance, 0)
+            self.incarnation = max(self.incarnation, earlier + 1)
         return self._row(running={**self.running, self.instance: self.incarnation})
 
     def leaves_nothing(self, now):
@@ -304,7 +245,7 @@
         -------
         dict
         """
-        return self._row(running=_without(self.running, self.instance))
+        return self._row(running=without(self.running, self.instance))
 
     def take_over(self, dead, now):
         """Return the row that makes this instance the holder of a dead one's shares.
@@ -335,20 +276,6 @@
         taken = [name for name in ring if self.holder_of(name) == dead]
         return self._row(holders=self.record | dict.fromkeys(taken, self.instance))
 
-    def give_back(self, name):
-        """Return the row that gives a share back to its owner.
-
-        Parameters
-        ----------
-        name : str
-            The owner.
-
-        Returns
-        -------
-        dict
-        """
-        return self._row(holders=_without(self.record, name))
-
     def usable(self, name, hold_s, now):
         """Return whether the units of a held share may be used yet.
 
@@ -401,15 +328,6 @@
         if waits and self._confirmed_at is None:
             self._confirmed_at = now
 
-    def _in_place(self, name):
-        return name in self.running and self.holder_of(name) == name
-
-    def _row(self, holders=None, running=None):
-        return {
-            "holders": self.record if holders is None else holders,
-            "running": self.running if running is None else running,
-        }
-
     def _update_held(self, now):
         held = set(self.held_shares()) - {self.instance}
         for name in set(self.usable_from) - held:
@@ -426,10 +344,6 @@
         return any(now < since + lease_s for since in self.usable_from.values())
 
 
-def _without(mapping, name):
-    return {key: value for key, value in mapping.items() if key != name}
-
-
 def create_holders(instance, incarnation, roster):
     """Return the record of a process that has just started.
 
--- a/quetzalwall/process/membership.py
+++ b/quetzalwall/process/membership.py
@@ -173,13 +173,14 @@
         """
         if name in self.members:
             self._heard[name] = now
-            if self.members[name].state == DEAD:
-                # Tells the sender, so that it can contradict.
-                self._spread[name] = SPREAD_ROUNDS
         changed = []
         for member, pair in changes.items():
             if member in self.members and self._merge(member, MemberState(*pair), now):
                 changed.append(member)
+        known = self.members.get(name)
+        if known and name in changes and known[:2] != tuple(changes[name][:2]):
+            # Tells the sender what is believed of it, so that it can contradict.
+            self._spread[name] = SPREAD_ROUNDS
         return changed
 
     def silent_s(self, name, now):
@@ -338,9 +339,10 @@
         return True
 
     def _contradict(self, told):
-        """Outdo a report that this instance is dead."""
+        """Outdo a report that this instance is dead, or leaves when it does not."""
         own = self.members[self.instance]
-        if told.state != DEAD or told.incarnation < own.incarnation:
+        worse = _SEVERITY[told.state] > _SEVERITY[own.state]
+        if not worse or told.incarnation < own.incarnation:
             return False
         self._set(self.instance, own._replace(incarnation=told.incarnation + 1))
         return True
--- a/quetzalwall/process/tests/test_entry.py
+++ b/quetzalwall/process/tests/test_entry.py
@@ -204,6 +204,9 @@
             deployment, "east-1", "POST", "/photos", iter([b"x"]), 60_000_000
         )
         assert (too_long.status, too_long.outcome) == (413, "not-run")
+        blocks = (b"x" * 65536 for _ in range(800))
+        sent = send(deployment, "east-1", "POST", "/photos", blocks, None)
+        assert (sent.status, sent.outcome) == (413, "unknown")
         for body, expected in ((b"{", 400), (b"[1]", 400), (b'{"sender": 1}', 400)):
             client = create_client(*deployment.place("east-1"), "x")
             req = SentRequest("POST", "/peer/heartbeat", {}, body)
--- a/quetzalwall/process/tests/test_holders.py
+++ b/quetzalwall/process/tests/test_holders.py
@@ -222,6 +222,18 @@
         assert successor.usable("i0", HOLD_S, 50.0) is expected
 
 
+def test_process_numbered_by_a_clock_set_back_registers_all_the_same():
+    (a, _b, _c), version, value = started("i0", "i1", "i2")
+    value["running"]["i0"] = 50
+    later = create_holders("i0", 7, ROSTER)
+    later.learn(version + 1, value, 1.0, 1.0)
+    assert not later.superseded()
+    later.learn(version + 2, later.register(), 1.0, 1.0)
+    assert later.registered() and later.unclean
+    a.learn(version + 2, later._row(), 1.0, 1.0)
+    assert a.superseded()
+
+
 def test_second_take_over_waits_for_the_first_ones_lease():
     (_a, b, _c), version, _ = started("i0", "i1", "i2")
     row = b.take_over("i0", 1.0)
--- a/quetzalwall/process/tests/test_membership.py
+++ b/quetzalwall/process/tests/test_membership.py
@@ -120,6 +120,17 @@
     assert network.views["i1"].members["i0"].incarnation > 1
 
 
+def test_restart_with_the_clock_set_back_is_live_again():
+    network = Network()
+    network.views["i4"].set_own_state(LEAVING)
+    network.run(2)
+    for view in network.views.values():
+        view.members["i4"] = view.members["i4"]._replace(incarnation=9)
+    network.views["i4"] = create_membership("i4", ROSTER, 5, network.now)
+    network.run(4)
+    assert network.states("i4") == {LIVE}
+
+
 def test_instance_cut_off_from_all_declares_nobody_dead():
     network = Network()
     network.run(2)
--- a/quetzalwall/request/caller_body.py
+++ b/quetzalwall/request/caller_body.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from quetzalwall.connection.http_server import BadRequest
-from quetzalwall.exceptions import CallerError
+from quetzalwall.exceptions import BodyTooLong, CallerError
 
 __all__ = ["BLOCK_BYTES", "SMALL_BODY_BYTES", "CallerBody", "open_body"]
 
@@ -52,7 +52,8 @@
         while block := _read(self.stream):
             size += len(block)
             if self.most_bytes is not None and size > self.most_bytes:
-                raise CallerError("body is too long", step="read body", peer="caller")
+                message = f"body is longer than {self.most_bytes} bytes"
+                raise BodyTooLong(message, step="read body", peer="caller")
             throttle(len(block))
             yield block
         if self.length is not None and size != self.length:
