Send peers only the subtrees that changed; borrow also without any slot of its own

Cause: a tree went whole to every peer at each change. And the round of borrowing was skipped while an instance used nothing, so that one without units, after an unclean start, never borrowed any: a test of take-over found it.

--- a/quetzalwall/process/app.py
+++ b/quetzalwall/process/app.py
@@ -186,7 +186,12 @@
 
 
 def _config(entry, environ, start_response):
-    return json_answer(start_response, 200, entry.node.keeper.export())
+    known = None
+    if environ["REQUEST_METHOD"] == "POST":
+        known = read_json(environ)
+        if not isinstance(known, dict):
+            raise BadRequest(400, "body must map teams to versions")
+    return json_answer(start_response, 200, entry.node.keeper.export(known))
 
 
 def _members(entry, environ, start_response):
--- a/quetzalwall/process/config_keeper.py
+++ b/quetzalwall/process/config_keeper.py
@@ -113,8 +113,13 @@
         self._on_force(self.in_force)
         return True
 
-    def export(self):
-        """Return the held version as a message for peers and snapshots.
+    def export(self, known=None):
+        """Return the held version as a message for a peer.
+
+        Parameters
+        ----------
+        known : dict of str to int, default=None
+            Team to version of the subtree that the peer has; those are left out.
 
         Returns
         -------
@@ -122,30 +127,47 @@
         """
         if self.held is None:
             return None
-        return export_configuration(self.held)
+        return export_configuration(self.held, known)
+
+    def team_versions(self):
+        """Return the versions of the subtrees held.
+
+        Returns
+        -------
+        dict of str to int
+        """
+        return self.held.team_versions if self.held else {}
 
 
-def export_configuration(configuration):
-    """Return a configuration as a message.
+def export_configuration(configuration, known=None):
+    """Return a configuration, or what changed in it, as a message.
 
     Parameters
     ----------
     configuration : Configuration
         The configuration.
+    known : dict of str to int, default=None
+        Team to version of a subtree that the receiver has.
 
     Returns
     -------
     dict
+        With the digest of the whole tree, also when subtrees are left out.
     """
+    known = known or {}
     return {
         "version": configuration.version,
         "teams": configuration.team_versions,
-        "tree": configuration.tree,
+        "tree": {
+            team: subtree
+            for team, subtree in configuration.tree.items()
+            if known.get(team) != configuration.team_versions[team]
+        },
         "digest": configuration.digest,
     }
 
 
-def import_configuration(message, source):
+def import_configuration(message, source, base=None):
     """Return the configuration in a message.
 
     Parameters
@@ -154,6 +176,8 @@
         From `export_configuration`.
     source : str
         Where it came from, for the error.
+    base : Configuration, default=None
+        Holds the subtrees that the message leaves out.
 
     Returns
     -------
@@ -162,10 +186,12 @@
     Raises
     ------
     SettingsError
-        The message is damaged.
+        The message is damaged, or does not fit the base.
     """
     try:
-        tree = message["tree"]
+        held = base.tree if base else {}
+        changed = message["tree"]
+        tree = {t: changed[t] if t in changed else held[t] for t in message["teams"]}
         if tree_digest(tree) != message["digest"]:
             raise SettingsError("digest does not match", step="import", peer=source)
         return create_configuration(int(message["version"]), message["teams"], tree)
--- a/quetzalwall/process/peers.py
+++ b/quetzalwall/process/peers.py
@@ -150,11 +150,7 @@
             return False
         self._fetching = True
         try:
-            answer = self.client(name).call(
-                "GET", "/peer/config", timeout_s=CONFIG_TIMEOUT_S
-            )
-            configuration = import_configuration(answer.body or {}, name)
-            self._node.hold(configuration, name)
+            self._node.hold(self._ask_configuration(name), name)
             return True
         except (PeerError, SettingsError) as exc:
             log_event(LOG, "no-config", "warning", peer=name, reason=exc.message)
@@ -162,6 +158,19 @@
         finally:
             self._fetching = False
 
+    def _ask_configuration(self, name):
+        """Return a peer's configuration, from what changed if that fits."""
+        held = self._node.keeper.held
+        known = self._node.keeper.team_versions()
+        client = self.client(name)
+        answer = client.call("POST", "/peer/config", known, timeout_s=CONFIG_TIMEOUT_S)
+        try:
+            return import_configuration(answer.body or {}, name, base=held)
+        except SettingsError:
+            # Versions of equal number but other content; the whole tree settles it.
+            answer = client.call("GET", "/peer/config", timeout_s=CONFIG_TIMEOUT_S)
+            return import_configuration(answer.body or {}, name)
+
     def _watch(self):
         """Ask about silent members and conclude which are dead."""
         membership = self._node.membership
@@ -204,14 +213,19 @@
         self._shortage.wait(LOAN_TICK_S)
         self._shortage.clear()
         now = self._node.clock.monotonic()
-        ledger = self._node.ledger
-        if not ledger.used and not ledger.borrowed and not self._node.steering.shifts:
+        if not self._needs_round():
             return
         self._extend_loans(now)
         for wish in wishes(self._node.steering, now):
             self._borrow_for(wish)
         self._return_spare()
 
+    def _needs_round(self):
+        ledger, steering = self._node.ledger, self._node.steering
+        return (
+            ledger.used or ledger.borrowed or steering.shifts or steering.any_waiting()
+        )
+
     def _borrow_for(self, wish):
         missing = wish.count
         for name in self._lenders(wish):
