--- a/benchmarks/cases/region_lost.py
+++ b/benchmarks/cases/region_lost.py
@@ -1,9 +1,8 @@
 """A whole region fails, endpoints and entry instances together."""
 
 from benchmarks.deployments import DEPLOYMENTS, SERVICE_S, load_cfg
-from benchmarks.grid import OURS, Variant, run_grid
+from benchmarks.grid import OURS, Measure, Variant, grid_rows, run_grid
 from benchmarks.load_driver import Stream, run_driver
-from benchmarks.rows import make_row
 
 __all__ = ["run"]
 
@@ -23,6 +22,11 @@
     Variant("power of two", {"sharing": "none", "policy": "power_of_two"}),
     Variant("least outstanding", {"sharing": "none", "policy": "least_outstanding"}),
 )
+MEASURES = (
+    Measure("most in use or waiting / slots, in a survivor", "", "<= 1.00"),
+    Measure("status answered from 5 s after the loss", "%", ">= 99%"),
+    Measure("other class answered from 5 s after the loss", "%", ""),
+)
 
 
 def run():
@@ -32,18 +36,7 @@
     -------
     list of Row
     """
-    found = run_grid(_measure, VARIANTS)
-    rows = []
-    for (deployment, label), values in found.items():
-        ours = label == "ours"
-        for name, unit, bound in (
-            ("most in use or waiting / slots, in a survivor", "", "<= 1.00"),
-            ("status answered from 5 s after the loss", "%", ">= 99%"),
-            ("other class answered from 5 s after the loss", "%", ""),
-        ):
-            text = bound if ours else ""
-            rows.append(make_row(name, deployment, label, values[name], unit, text))
-    return rows
+    return grid_rows(run_grid(_measure, VARIANTS), MEASURES)
 
 
 def _measure(cell):
--- a/benchmarks/cases/reports_stop.py
+++ b/benchmarks/cases/reports_stop.py
@@ -1,9 +1,9 @@
 """Reports of endpoints stop for 60 s while the load grows by 30%; and a drain."""
 
 from benchmarks.deployments import DEPLOYMENTS, SERVICE_S, load_cfg
-from benchmarks.grid import OURS, run_grid
+from benchmarks.grid import OURS, Measure, grid_rows, run_grid
 from benchmarks.load_driver import Driver, Stream
-from benchmarks.rows import make_row, quantile
+from benchmarks.rows import quantile
 
 __all__ = ["run"]
 
@@ -19,6 +19,14 @@
 GROWTH = 1.3
 DRAIN_S = 30.0
 GRACE_S = 2.0
+MEASURES = (
+    Measure("requests that found no slot free", "", "<= 0"),
+    Measure("p99 at the end / before", "", "<= 1.5"),
+    Measure("the same with 1 of 20 endpoints drained too", "", ""),
+    Measure("requests refused", "", ""),
+    Measure("new work at a drained endpoint after 2 s", "", "<= 0"),
+    Measure("requests cut at the drained endpoint", "", "<= 0"),
+)
 
 
 def run():
@@ -28,20 +36,7 @@
     -------
     list of Row
     """
-    found = run_grid(_measure, (OURS,))
-    bounds = (
-        ("requests that found no slot free", "", "<= 0"),
-        ("p99 at the end / before", "", "<= 1.5"),
-        ("the same with 1 of 20 endpoints drained too", "", ""),
-        ("requests refused", "", ""),
-        ("new work at a drained endpoint after 2 s", "", "<= 0"),
-        ("requests cut at the drained endpoint", "", "<= 0"),
-    )
-    return [
-        make_row(name, deployment, label, values[name], unit, bound)
-        for (deployment, label), values in found.items()
-        for name, unit, bound in bounds
-    ]
+    return grid_rows(run_grid(_measure, (OURS,)), MEASURES)
 
 
 class _Watched(Driver):
--- a/benchmarks/cases/short_and_long.py
+++ b/benchmarks/cases/short_and_long.py
@@ -1,9 +1,9 @@
 """Short work beside uploads offered at twice their capacity."""
 
 from benchmarks.deployments import DEPLOYMENTS, SERVICE_S, load_cfg
-from benchmarks.grid import BASELINES, OURS, run_grid
+from benchmarks.grid import BASELINES, OURS, Measure, grid_rows, run_grid
 from benchmarks.load_driver import Stream, run_driver
-from benchmarks.rows import make_row, quantile
+from benchmarks.rows import quantile
 
 __all__ = ["run"]
 
@@ -18,6 +18,11 @@
 SHORT_LOAD = 0.3  # of all slots of the service
 LONG_FACTOR = 30
 UPLOAD_BYTES = 5_000_000
+MEASURES = (
+    Measure("short p99 with uploads / without", "", "<= 1.25"),
+    Measure("uploads answered, of their capacity", "%", ""),
+    Measure("short requests refused", "", ""),
+)
 
 
 def run():
@@ -27,17 +32,7 @@
     -------
     list of Row
     """
-    found = run_grid(_measure, (OURS, *BASELINES))
-    rows = []
-    for (deployment, label), values in found.items():
-        bound = "<= 1.25" if label == "ours" else ""
-        name = "short p99 with uploads / without"
-        rows.append(make_row(name, deployment, label, values[name], "", bound))
-        name = "uploads answered, of their capacity"
-        rows.append(make_row(name, deployment, label, values[name], "%"))
-        name = "short requests refused"
-        rows.append(make_row(name, deployment, label, values[name], ""))
-    return rows
+    return grid_rows(run_grid(_measure, (OURS, *BASELINES)), MEASURES)
 
 
 def _measure(cell):
--- a/benchmarks/cases/surge.py
+++ b/benchmarks/cases/surge.py
@@ -1,9 +1,9 @@
 """A promotion that nobody announced: its class grows tenfold."""
 
 from benchmarks.deployments import DEPLOYMENTS, SERVICE_S, load_cfg
-from benchmarks.grid import BASELINES, OURS, run_grid
+from benchmarks.grid import BASELINES, OURS, Measure, grid_rows, run_grid
 from benchmarks.load_driver import Stream, run_driver
-from benchmarks.rows import make_row, quantile
+from benchmarks.rows import quantile
 
 __all__ = ["run"]
 
@@ -19,6 +19,11 @@
 STATUS_LOAD = 0.2
 PROMOTION_LOAD = 0.2
 SURGE = 10
+MEASURES = (
+    Measure("status p99 in the surge / before", "", "<= 1.5"),
+    Measure("status answered in time", "%", ">= 99.9%"),
+    Measure("promotion answered, of what was left over", "%", ""),
+)
 
 
 def run():
@@ -28,18 +33,7 @@
     -------
     list of Row
     """
-    found = run_grid(_measure, (OURS, *BASELINES))
-    rows = []
-    for (deployment, label), values in found.items():
-        ours = label == "ours"
-        for name, unit, bound in (
-            ("status p99 in the surge / before", "", "<= 1.5"),
-            ("status answered in time", "%", ">= 99.9%"),
-            ("promotion answered, of what was left over", "%", ""),
-        ):
-            text = bound if ours else ""
-            rows.append(make_row(name, deployment, label, values[name], unit, text))
-    return rows
+    return grid_rows(run_grid(_measure, (OURS, *BASELINES)), MEASURES)
 
 
 def _measure(cell):
--- a/benchmarks/grid.py
+++ b/benchmarks/grid.py
@@ -4,8 +4,18 @@
 from typing import NamedTuple
 
 from benchmarks.deployments import DEPLOYMENTS
-
-__all__ = ["BASELINES", "OURS", "SEEDS", "Cell", "Variant", "run_grid"]
+from benchmarks.rows import make_row
+
+__all__ = [
+    "BASELINES",
+    "OURS",
+    "SEEDS",
+    "Cell",
+    "Measure",
+    "Variant",
+    "grid_rows",
+    "run_grid",
+]
 
 SEEDS = (1, 2, 3, 4, 5)
 WORKERS = 7
@@ -34,6 +44,22 @@
     seed: int
 
 
+class Measure(NamedTuple):
+    """A figure of a case.
+
+    Attributes
+    ----------
+    name, unit : str
+        For the table.
+    bound : str
+        Stated target for our own way; empty if there is none.
+    """
+
+    name: str
+    unit: str
+    bound: str
+
+
 OURS = Variant("ours", {"sharing": "lending"})
 BASELINES = (
     Variant("random", {"sharing": "none", "policy": "random_choice"}),
@@ -71,3 +97,31 @@
         for measure, value in values.items():
             group.setdefault(measure, []).append(value)
     return found
+
+
+def grid_rows(found, measures):
+    """Return the rows of a case.
+
+    Parameters
+    ----------
+    found : dict
+        From `run_grid`.
+    measures : sequence of Measure
+        Which figures, in order; bounds are applied to our own way only.
+
+    Returns
+    -------
+    list of Row
+    """
+    return [
+        make_row(
+            measure.name,
+            deployment,
+            label,
+            values[measure.name],
+            measure.unit,
+            measure.bound if label == OURS.label else "",
+        )
+        for (deployment, label), values in found.items()
+        for measure in measures
+    ]
