--- a/quetzalwall/cli/main.py
+++ b/quetzalwall/cli/main.py
@@ -6,6 +6,7 @@
 from quetzalwall.cli import (
     drain_command,
     entry_command,
+    front_command,
     lookup_command,
     settings_command,
     shift_command,
@@ -17,6 +18,7 @@
 
 COMMANDS = (
     entry_command,
+    front_command,
     settings_command,
     shift_command,
     drain_command,
--- /dev/null
+++ b/quetzalwall/connection/endpoint_client.py
@@ -0,0 +1,345 @@
+"""Send one request to one endpoint, on a connection that may be kept.
+
+Each call makes one attempt and tells whether the request can have run. Answers that
+name another request are dropped. A connection is kept only if nothing follows the
+answer, the whole body was sent and the endpoint means to keep it.
+"""
+
+from collections import deque
+from typing import NamedTuple
+
+import gevent
+import gevent.socket
+from geventhttpclient.client import HTTPClient
+from geventhttpclient.response import HTTPParseError
+
+from quetzalwall.connection.answer_parser import AnswerParser
+from quetzalwall.connection.nodelay import readable_now, set_nodelay
+from quetzalwall.exceptions import (
+    IncompleteAnswer,
+    NotConnected,
+    NotRun,
+    OutcomeUnknown,
+)
+
+__all__ = ["EndpointClient", "Exchange", "create_endpoint_client"]
+
+CONNECT_TIMEOUT_S = 0.6  # several round trips between the farthest regions
+IDLE_LIMIT_S = 8.0  # shorter than the endpoints' usual 10 s
+CAREFUL_IDLE_S = 2.0  # for requests that may not run twice: a late close costs them
+KEEP_ALIVE_MARGIN_S = 1.0
+INLINE_BODY_BYTES = 16 * 1024  # longer bodies are sent while the answer is awaited
+READ_BYTES = 64 * 1024
+MOST_ANSWER_BYTES = 64 * 1024 * 1024
+MOST_IDLE = 64  # connections
+MIN_LIMIT_S = 0.001
+
+
+class Exchange(NamedTuple):
+    """A request and how it is to be sent.
+
+    Attributes
+    ----------
+    method, target : str
+        HTTP method, and path with query.
+    headers : dict of str to str
+        All headers but the length.
+    body : bytes
+        The whole body.
+    request_id : str
+        The answer must name it.
+    idempotent : bool
+        Whether it may be sent on a connection that has been idle for longer.
+    """
+
+    method: str
+    target: str
+    headers: dict
+    body: bytes
+    request_id: str
+    idempotent: bool
+
+
+class _Idle(NamedTuple):
+    sock: object
+    since: float
+    limit_s: float
+
+
+class EndpointClient:
+    """Connections to one endpoint.
+
+    Parameters
+    ----------
+    name : str
+        Name of the endpoint.
+    host : str
+        IP number.
+    port : int
+        TCP port.
+    read_facts : callable
+        From status and headers of an answer to what they say.
+    monotonic : callable
+        Clock in seconds.
+
+    Attributes
+    ----------
+    opened : int
+        Connections opened so far.
+    connect_s : float or None
+        Seconds that the last connection took to open: one round trip.
+    """
+
+    def __init__(self, name, host, port, read_facts, monotonic):
+        self.name = name
+        self.place = (host, port)
+        self.opened = 0
+        self.connect_s = None
+        self._read_facts = read_facts
+        self._monotonic = monotonic
+        self._idle = deque()
+        self._closed = False
+        self._http = HTTPClient(host, port=port, disable_ipv6=True)
+
+    def exchange(self, exchange, deadline):
+        """Send a request once and return the whole answer.
+
+        Parameters
+        ----------
+        exchange : Exchange
+            The request.
+        deadline : float
+            Monotonic seconds after which no answer is awaited.
+
+        Returns
+        -------
+        (ParsedAnswer, AnswerFacts)
+
+        Raises
+        ------
+        NotRun
+            No byte of the request left this process.
+        OutcomeUnknown
+            It may have run; no answer arrived.
+        IncompleteAnswer
+            Its answer was cut or spoiled.
+        """
+        attempt = _Attempt(self, exchange)
+        limit_s = max(MIN_LIMIT_S, deadline - self._monotonic())
+        timer = gevent.Timeout(limit_s)
+        try:
+            timer.start()
+            return attempt.run(self._encode(exchange))
+        except gevent.Timeout as exc:
+            if exc is not timer:
+                raise
+            kind = OutcomeUnknown if attempt.sent else NotRun
+            raise kind("no answer before the deadline", "await", self.name) from exc
+        finally:
+            timer.close()
+            attempt.close()
+
+    def take(self, idempotent):
+        """Return a connection, and whether it is new.
+
+        Parameters
+        ----------
+        idempotent : bool
+            Whether a connection that was idle for long may be used.
+
+        Returns
+        -------
+        (gevent.socket.socket, bool)
+
+        Raises
+        ------
+        NotConnected
+            The endpoint accepts no connection.
+        """
+        now = self._monotonic()
+        while self._idle:
+            idle = self._idle.pop()
+            limit_s = idle.limit_s if idempotent else CAREFUL_IDLE_S
+            if now - idle.since <= min(limit_s, idle.limit_s) and not readable_now(
+                idle.sock
+            ):
+                return idle.sock, False
+            _close(idle.sock)
+        try:
+            sock = gevent.socket.create_connection(self.place, CONNECT_TIMEOUT_S)
+        except OSError as exc:
+            raise NotConnected(str(exc), step="connect", peer=self.name) from exc
+        set_nodelay(sock)
+        sock.settimeout(None)
+        self.opened += 1
+        self.connect_s = self._monotonic() - now
+        return sock, True
+
+    def give_back(self, sock, keep_alive_s):
+        """Keep a connection for another request.
+
+        Parameters
+        ----------
+        sock : gevent.socket.socket
+            The connection.
+        keep_alive_s : float or None
+            Seconds for which the endpoint keeps it, if it said so.
+        """
+        if self._closed or len(self._idle) >= MOST_IDLE:
+            _close(sock)
+            return
+        limit_s = IDLE_LIMIT_S
+        if keep_alive_s is not None:
+            limit_s = min(limit_s, keep_alive_s - KEEP_ALIVE_MARGIN_S)
+        self._idle.append(_Idle(sock, self._monotonic(), limit_s))
+
+    def close(self):
+        """Close idle connections; those in use close when their answers end."""
+        self._closed = True
+        while self._idle:
+            _close(self._idle.pop().sock)
+
+    def close_stale(self):
+        """Close connections that have been idle for too long."""
+        now = self._monotonic()
+        while self._idle and now - self._idle[0].since > self._idle[0].limit_s:
+            _close(self._idle.popleft().sock)
+
+    def idle_count(self):
+        """Return the number of idle connections.
+
+        Returns
+        -------
+        int
+        """
+        return len(self._idle)
+
+    def read_facts(self, answer):
+        """Return what an answer's headers say.
+
+        Parameters
+        ----------
+        answer : ParsedAnswer
+            The answer.
+
+        Returns
+        -------
+        AnswerFacts
+        """
+        return self._read_facts(answer.status, answer.headers)
+
+    def _encode(self, exchange):
+        headers = dict(exchange.headers)
+        if exchange.body:
+            headers["Content-Length"] = str(len(exchange.body))
+        try:
+            text = self._http._build_request(
+                exchange.method, exchange.target, b"", headers, chunked=False
+            )
+            return text.encode("latin-1") + exchange.body
+        except (ValueError, UnicodeError) as exc:
+            raise NotRun(str(exc), step="build request", peer=self.name) from exc
+
+
+class _Attempt:
+    """One request on one connection."""
+
+    def __init__(self, client, exchange):
+        self.sent = False
+        self._client = client
+        self._exchange = exchange
+        self._sock = None
+        self._sender = None
+
+    def run(self, raw):
+        self._sock, fresh = self._client.take(self._exchange.idempotent)
+        self.sent = True
+        self._send(raw)
+        parser = AnswerParser(self._exchange.method)
+        answer, facts = self._receive(parser, fresh)
+        unsent = self._sender is not None and not self._sender.ready()
+        if answer.reusable and not unsent and len(parser.answers) == 0:
+            if parser.clean() and not readable_now(self._sock):
+                self._client.give_back(self._sock, facts.keep_alive_s)
+                self._sock = None
+        return answer, facts
+
+    def close(self):
+        if self._sender is not None:
+            self._sender.kill()
+        _close(self._sock)
+
+    def _send(self, raw):
+        if len(raw) <= INLINE_BODY_BYTES:
+            _send_quietly(self._sock, raw)
+        else:
+            # The endpoint may answer before it has read the body.
+            self._sender = gevent.spawn(_send_quietly, self._sock, raw)
+
+    def _receive(self, parser, fresh):
+        name = self._client.name
+        while True:
+            while parser.answers:
+                answer = parser.answers.pop(0)
+                facts = self._client.read_facts(answer)
+                if self._is_ours(facts, fresh):
+                    return answer, facts
+            self._read_more(parser, name)
+
+    def _is_ours(self, facts, fresh):
+        if facts.request_id is None:
+            return fresh or facts.not_run
+        return facts.request_id == self._exchange.request_id
+
+    def _read_more(self, parser, name):
+        if parser.received > MOST_ANSWER_BYTES:
+            raise IncompleteAnswer("answer is too long", "read", name)
+        data = b""
+        try:
+            data = self._sock.recv(READ_BYTES)
+            parser.feed(data)
+        except OSError as exc:
+            kind = IncompleteAnswer if parser.received else OutcomeUnknown
+            raise kind(str(exc), "read", name) from exc
+        except HTTPParseError as exc:
+            kind = IncompleteAnswer if parser.received else OutcomeUnknown
+            raise kind(f"not an answer: {exc}", "read", name) from exc
+        if not data and not parser.answers:
+            kind = IncompleteAnswer if parser.received else OutcomeUnknown
+            raise kind("connection was closed", "read", name)
+
+
+def _send_quietly(sock, raw):
+    """Send; a connection that breaks is noticed where the answer is read."""
+    try:
+        sock.sendall(raw)
+    except OSError:
+        return
+
+
+def _close(sock):
+    if sock is not None:
+        sock.close()
+
+
+def create_endpoint_client(name, host, port, read_facts, monotonic):
+    """Return the connections to one endpoint.
+
+    Parameters
+    ----------
+    name : str
+        Name of the endpoint.
+    host : str
+        IP number.
+    port : int
+        TCP port.
+    read_facts : callable
+        From status and headers of an answer to what they say.
+    monotonic : callable
+        Clock in seconds.
+
+    Returns
+    -------
+    EndpointClient
+    """
+    return EndpointClient(name, host, port, read_facts, monotonic)
--- /dev/null
+++ b/quetzalwall/connection/front_server.py
@@ -0,0 +1,92 @@
+"""HTTP server for callers: hands each request over with its connection."""
+
+import errno
+
+from quetzalwall.connection.http_server import (
+    BadRequest,
+    QuietHandler,
+    create_server,
+)
+from quetzalwall.request.answers import status_line
+from quetzalwall.request.serve import CallerLeft
+
+__all__ = ["create_front_application", "create_front_server"]
+
+MOST_CONNECTIONS = 3000
+SOCKET_KEY = "quetzalwall.socket"
+TARGET_KEY = "quetzalwall.target"
+
+
+class FrontHandler(QuietHandler):
+    """Handler that lets the application see its connection."""
+
+    def get_environ(self):
+        """Return the WSGI environment of a request.
+
+        Returns
+        -------
+        dict
+        """
+        environ = super().get_environ()
+        environ[SOCKET_KEY] = self.socket
+        environ[TARGET_KEY] = self.path
+        return environ
+
+
+def create_front_application(serve, stopping):
+    """Return the WSGI application for callers.
+
+    Parameters
+    ----------
+    serve : callable
+        From a WSGI environment to an `Answer`.
+    stopping : callable
+        Whether connections should end after their answers.
+
+    Returns
+    -------
+    callable
+    """
+
+    def application(environ, start_response):
+        try:
+            answer = serve(environ)
+        except BadRequest as exc:
+            body = f"{exc.message}\n".encode()
+            headers = [("Content-Type", "text/plain")]
+            return _send(start_response, exc.status, headers, body, stopping())
+        except CallerLeft as exc:
+            # The server then closes the connection without an answer.
+            raise ConnectionResetError(errno.ECONNRESET, str(exc)) from exc
+        return _send(
+            start_response, answer.status, answer.headers, answer.body, stopping()
+        )
+
+    return application
+
+
+def _send(start_response, status, headers, body, closing):
+    headers = list(headers)
+    if status not in (204, 304):
+        headers.append(("Content-Length", str(len(body))))
+    if closing:
+        headers.append(("Connection", "close"))
+    start_response(status_line(status), headers)
+    return [body]
+
+
+def create_front_server(place, application):
+    """Return the server for callers, not yet started.
+
+    Parameters
+    ----------
+    place : (str, int)
+        IP number and port.
+    application : callable
+        WSGI application.
+
+    Returns
+    -------
+    NoDelayServer
+    """
+    return create_server(*place, application, handler=FrontHandler)
--- a/quetzalwall/connection/nodelay.py
+++ b/quetzalwall/connection/nodelay.py
@@ -10,7 +10,7 @@
 from gevent.pywsgi import WSGIServer
 from geventhttpclient.connectionpool import ConnectionPool
 
-__all__ = ["NoDelayPool", "NoDelayServer", "set_nodelay"]
+__all__ = ["NoDelayPool", "NoDelayServer", "readable_now", "set_nodelay"]
 
 
 def set_nodelay(sock):
@@ -24,6 +24,24 @@
     sock.setsockopt(gevent.socket.IPPROTO_TCP, gevent.socket.TCP_NODELAY, 1)
 
 
+def readable_now(sock):
+    """Return whether bytes, an error or the end wait on a socket.
+
+    Parameters
+    ----------
+    sock : gevent.socket.socket
+        A TCP socket.
+
+    Returns
+    -------
+    bool
+    """
+    # select(2) fails from descriptor 1024 on.
+    poller = select.poll()
+    poller.register(sock.fileno(), select.POLLIN)
+    return bool(poller.poll(0))
+
+
 class NoDelayPool(ConnectionPool):
     """Connection pool whose sockets have TCP_NODELAY set."""
 
@@ -38,12 +56,8 @@
         set_nodelay(sock)
 
     def _is_socket_alive(self, sock):
-        # The library's check uses select(2), which fails from descriptor 1024 on.
-        if sock is None or sock.fileno() < 0:
-            return False
-        poller = select.poll()
-        poller.register(sock.fileno(), select.POLLIN)
-        return not poller.poll(0)
+        # The library's own check uses select(2).
+        return sock is not None and sock.fileno() >= 0 and not readable_now(sock)
 
 
 class NoDelayServer(WSGIServer):
--- a/quetzalwall/exceptions.py
+++ b/quetzalwall/exceptions.py
@@ -9,6 +9,7 @@
     "CallerError",
     "EndpointError",
     "IncompleteAnswer",
+    "NotConnected",
     "NotRun",
     "OutcomeUnknown",
     "PeerError",
@@ -116,6 +117,10 @@
         self.retry_after_s = retry_after_s
 
 
+class NotConnected(NotRun):
+    """The endpoint accepted no connection."""
+
+
 class OutcomeUnknown(EndpointError):
     """Bytes of the request left this instance and no answer arrived."""
 
--- a/quetzalwall/logs.py
+++ b/quetzalwall/logs.py
@@ -1,12 +1,24 @@
 """Structured logs: one line of key=value pairs for each event."""
 
 import json
+import os
 import sys
+from collections import deque
 
+import gevent
+import gevent.os
 import logbook
 
-__all__ = ["format_fields", "get_logger", "log_event", "setup_logs"]
+__all__ = [
+    "format_fields",
+    "get_logger",
+    "log_event",
+    "setup_bounded_logs",
+    "setup_logs",
+]
 
+MOST_WAITING_LINES = 5000
+WRITE_DELAY_S = 0.05  # lines of one moment are written together
 PLAIN_CHARACTERS = frozenset(
     "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_./:,+#*%"
 )
@@ -48,6 +60,78 @@
     return handler
 
 
+class BoundedHandler(logbook.Handler):
+    """Handler that never blocks: lines wait in a bounded queue for one writing task.
+
+    Parameters
+    ----------
+    descriptor : int
+        Where the lines go.
+    level : str
+        Lowest level written.
+    """
+
+    def __init__(self, descriptor, level):
+        super().__init__(level=level)
+        self._descriptor = descriptor
+        self._lines = deque()
+        self._dropped = 0
+        self._writer = None
+
+    def emit(self, record):
+        """Queue one line, or count it as dropped.
+
+        Parameters
+        ----------
+        record : logbook.LogRecord
+            The event.
+        """
+        if len(self._lines) >= MOST_WAITING_LINES:
+            self._dropped += 1
+            return
+        self._lines.append(_format_record(record, self))
+        if self._writer is None or self._writer.ready():
+            self._writer = gevent.spawn_later(WRITE_DELAY_S, self._write)
+
+    def flush(self):
+        """Write what waits, as far as it can be written at once."""
+        while self._lines and not self._dropped:
+            self._write_some()
+
+    def _write(self):
+        while self._lines or self._dropped:
+            self._write_some()
+
+    def _write_some(self):
+        lines = [self._lines.popleft() for _ in range(min(64, len(self._lines)))]
+        dropped, self._dropped = self._dropped, 0
+        if dropped:
+            lines.append(f"level=WARNING part=log event=dropped lines={dropped}")
+        data = "".join(f"{line}\n" for line in lines).encode()
+        while data:
+            data = data[gevent.os.nb_write(self._descriptor, data) :]
+
+
+def setup_bounded_logs(level="INFO", descriptor=1):
+    """Install the handler of a daemon: bounded, and never in a request's way.
+
+    Parameters
+    ----------
+    level : str, default="INFO"
+        Lowest level written.
+    descriptor : int, default=1
+        Where lines go; standard output by default.
+
+    Returns
+    -------
+    BoundedHandler
+    """
+    os.set_blocking(descriptor, False)
+    handler = BoundedHandler(descriptor, level.upper())
+    handler.push_application()
+    return handler
+
+
 def log_event(logger, event, level="info", **fields):
     """Write one event as key=value pairs.
 
--- /dev/null
+++ b/quetzalwall/platform/headers.py
@@ -0,0 +1,252 @@
+"""Names of headers and query parameters, and what callers' headers say."""
+
+from typing import NamedTuple
+from urllib.parse import parse_qs
+
+from quetzalwall.connection.http_server import BadRequest
+
+__all__ = [
+    "AnswerFacts",
+    "CallerFacts",
+    "answer_facts",
+    "caller_facts",
+    "endpoint_headers",
+    "lookup_body",
+    "lookup_place",
+]
+
+REQUEST_ID = "X-Quetzalwall-Request-Id"
+DEADLINE = "X-Quetzalwall-Deadline-Ms"
+EXPECT = "X-Quetzalwall-Expect-Instance"
+STAMP = "X-Quetzalwall-Server-Stamp"
+LOAD = "X-Quetzalwall-Server-Load"
+NOT_RUN = "X-Quetzalwall-Request-Not-Run"
+COLD = "X-Quetzalwall-Cold-Ms"
+OBJECT_COOKIE = "X-Quetzalwall-Affinity-Key"
+# Headers that concern one connection, or that this system sets itself.
+HOP = frozenset(
+    [
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "proxy-authenticate",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+    ]
+)
+OWN = frozenset((DEADLINE.lower(), EXPECT.lower()))
+MISDIRECTED = 421
+
+
+class CallerFacts(NamedTuple):
+    """What a caller's headers say.
+
+    Attributes
+    ----------
+    request_id : str
+        Identity of this attempt; empty if it has none.
+    wait_s : float or None
+        Seconds that the caller will wait.
+    object_key : str
+        Object that the request concerns; empty if none is named.
+    headers : dict of str to str
+        Headers to pass on, with the host.
+    """
+
+    request_id: str
+    wait_s: float | None
+    object_key: str
+    headers: dict
+
+
+class AnswerFacts(NamedTuple):
+    """What an endpoint's headers say.
+
+    Attributes
+    ----------
+    request_id : str or None
+        Request that it answers.
+    not_run : bool
+        Whether the endpoint says that the request has not run.
+    misdirected : bool
+        Whether another endpoint than the one expected has the address.
+    load : tuple or None
+        Requests running, requests waiting, slots, and slowness (1.0 is usual).
+    cold_s : float or None
+        Seconds for which the endpoint remains cold.
+    keep_alive_s : float or None
+        Seconds for which it keeps an idle connection.
+    headers : list of (str, str)
+        Headers to pass on.
+    """
+
+    request_id: str | None
+    not_run: bool
+    misdirected: bool
+    load: tuple | None
+    cold_s: float | None
+    keep_alive_s: float | None
+    headers: list
+
+
+def caller_facts(environ):
+    """Return what a caller's headers say.
+
+    Parameters
+    ----------
+    environ : dict
+        WSGI environment.
+
+    Returns
+    -------
+    CallerFacts
+
+    Raises
+    ------
+    BadRequest
+        The deadline is not a number.
+    """
+    headers = {}
+    for name, value in environ.items():
+        if name.startswith("HTTP_"):
+            plain = name[5:].replace("_", "-")
+            if plain.lower() not in HOP and plain.lower() not in OWN:
+                headers[plain.title()] = value
+    if environ.get("CONTENT_TYPE"):
+        headers["Content-Type"] = environ["CONTENT_TYPE"]
+    text = environ.get("HTTP_X_QUETZALWALL_DEADLINE_MS")
+    if text is not None and not (text.isdigit() and len(text) <= 12):
+        raise BadRequest(400, f"{DEADLINE} is not a number: {text[:40]}")
+    return CallerFacts(
+        request_id=environ.get("HTTP_X_QUETZALWALL_REQUEST_ID", ""),
+        wait_s=None if text is None else int(text) / 1000,
+        object_key=_object_key(environ.get("HTTP_COOKIE", "")),
+        headers=headers,
+    )
+
+
+def endpoint_headers(facts, endpoint, left_s):
+    """Return the headers of a request to an endpoint.
+
+    Parameters
+    ----------
+    facts : CallerFacts
+        What the caller said.
+    endpoint : str
+        Identity of the endpoint; any other refuses the request.
+    left_s : float
+        Seconds left until the deadline.
+
+    Returns
+    -------
+    dict of str to str
+    """
+    own = {DEADLINE: str(max(1, int(left_s * 1000))), EXPECT: endpoint}
+    return facts.headers | own
+
+
+def answer_facts(status, items):
+    """Return what an endpoint's headers say.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    items : sequence of (str, str)
+        The headers.
+
+    Returns
+    -------
+    AnswerFacts
+    """
+    found = {name.lower(): value for name, value in items}
+    skipped = HOP | {LOAD.lower(), REQUEST_ID.lower(), "date"}
+    passed = [(name, value) for name, value in items if name.lower() not in skipped]
+    if REQUEST_ID.lower() in found:
+        passed.append((REQUEST_ID, found[REQUEST_ID.lower()]))
+    return AnswerFacts(
+        request_id=found.get(REQUEST_ID.lower()),
+        not_run=NOT_RUN.lower() in found or status == MISDIRECTED,
+        misdirected=status == MISDIRECTED,
+        load=_load(found.get(LOAD.lower())),
+        cold_s=_milliseconds(found.get(COLD.lower())),
+        keep_alive_s=_keep_alive_s(found.get("keep-alive", "")),
+        headers=passed,
+    )
+
+
+def lookup_place(environ):
+    """Return the host, region and failure domain that a look-up names.
+
+    Parameters
+    ----------
+    environ : dict
+        WSGI environment.
+
+    Returns
+    -------
+    (str, str, str)
+        Empty texts where the query names none.
+    """
+    query = parse_qs(environ["QUERY_STRING"])
+    name, region, domain = (
+        query.get(key, [""])[0] for key in ("name", "region", "zone")
+    )
+    return name.lower(), region, domain
+
+
+def lookup_body(places, ttl_s):
+    """Return the body of a look-up's answer.
+
+    Parameters
+    ----------
+    places : sequence of (str, int)
+        IP number and port of each instance to use.
+    ttl_s : float
+        Seconds for which the caller may keep the answer.
+
+    Returns
+    -------
+    dict
+    """
+    addresses = [f"{host}:{port}" for host, port in places]
+    return {"addresses": addresses, "ttl": f"{int(ttl_s * 1000)}ms"}
+
+
+def _object_key(cookies):
+    for cookie in cookies.split(";"):
+        name, _, value = cookie.strip().partition("=")
+        if name == OBJECT_COOKIE:
+            return value
+    return ""
+
+
+def _load(text):
+    parts = (text or "").split(",")
+    if len(parts) < 3:
+        return None
+    try:
+        figures = [int(part) for part in parts[:4]]
+    except ValueError:
+        return None
+    slowness = figures[3] / 100 if len(figures) > 3 and figures[3] > 0 else 1.0
+    return figures[0], figures[1], figures[2], slowness
+
+
+def _milliseconds(text):
+    try:
+        return None if text is None else max(0, int(text)) / 1000
+    except ValueError:
+        return None
+
+
+def _keep_alive_s(text):
+    for part in text.split(","):
+        name, _, value = part.strip().partition("=")
+        if name.lower() == "timeout" and value.isdigit():
+            return float(value)
+    return None
--- /dev/null
+++ b/quetzalwall/process/front.py
@@ -0,0 +1,409 @@
+"""The daemon of an instance on the platform: starts and stops all parts in order."""
+
+import os
+import random
+from typing import NamedTuple
+
+import gevent
+import gevent.event
+import msgspec
+from gevent import signal_handler
+
+from quetzalwall.clock import system_clock
+from quetzalwall.connection.front_server import (
+    create_front_application,
+    create_front_server,
+)
+from quetzalwall.connection.http_server import create_server, json_answer
+from quetzalwall.connection.json_call import create_json_client
+from quetzalwall.exceptions import PeerError, SettingsError, StoreError
+from quetzalwall.logs import get_logger, log_event
+from quetzalwall.platform.headers import answer_facts, lookup_body, lookup_place
+from quetzalwall.platform.rows import (
+    ENDPOINTS_TABLE,
+    INSTANCES_TABLE,
+    OPERATOR_TABLE,
+)
+from quetzalwall.platform.settings import read_settings
+from quetzalwall.platform.store import create_store_client
+from quetzalwall.process.front_metrics import create_front_metrics
+from quetzalwall.process.knowledge.endpoint_table import create_endpoint_table
+from quetzalwall.process.knowledge.fleet import PeerCard, create_fleet
+from quetzalwall.process.knowledge.knowledge import create_knowledge, read_exported
+from quetzalwall.process.knowledge.store_watch import create_table_watch
+from quetzalwall.process.limits.cold_pacing import create_cold_pacing
+from quetzalwall.process.limits.retry_allowance import create_retry_allowance
+from quetzalwall.process.limits.weighted_split import create_weighted_split
+from quetzalwall.process.tasks import repeat
+from quetzalwall.request.choose import create_chooser
+from quetzalwall.request.estimate import create_durations
+from quetzalwall.request.serve import create_request_server
+
+__all__ = ["Front", "create_front", "run_front"]
+
+TICK_S = 0.5
+SETTINGS_PERIOD_S = 1.0
+LOOKUP_TTL_S = 2.0
+STORE_TIMEOUT_S = 1.2
+PEER_TIMEOUT_S = 0.8
+REGISTER_RETRY_S = 1.0
+ACCEPT_PART = 0.4  # of the grace, in which a stopping instance takes requests
+LEAVE_PART = 0.7  # of the grace, before which a stopping instance does not end
+END_PART = 0.95  # of the grace, after which it ends whatever is under way
+STOP_POLL_S = 0.05
+SIGHUP, SIGINT, SIGTERM = 1, 2, 15
+PROCESS_BITS = 48
+LOG = get_logger("front")
+
+
+class FleetLimits(NamedTuple):
+    """Limits that hold over all instances together."""
+
+    retries: object
+    cold: object
+    split: object
+
+
+class Front:
+    """An instance that serves callers.
+
+    Parameters
+    ----------
+    settings : InstanceSettings
+        Checked settings.
+    settings_file : str
+        Where they came from; read again when it changes.
+    clock : Clock
+        Source of time.
+    rng : random.Random
+        Source of randomness.
+    """
+
+    def __init__(self, settings, settings_file, clock, rng):
+        self.settings = settings
+        self.stopping = False
+        self.in_flight = 0
+        self._settings_file = settings_file
+        self._settings_seen = _modified(settings_file)
+        self._clock = clock
+        self._rng = rng
+        self._began_stop = None
+        self._stopped = gevent.event.Event()
+        now = clock.monotonic
+        card = PeerCard(
+            settings.instance, settings.region, settings.domain, settings.address
+        )
+        self.endpoints = create_endpoint_table(settings.domains, answer_facts, now)
+        self.fleet = create_fleet(
+            card,
+            settings.peer_port,
+            self.endpoints,
+            now,
+            rng.getrandbits(PROCESS_BITS),
+        )
+        self.knowledge = create_knowledge(self.endpoints, self.fleet)
+        self.knowledge.on_configuration = self._take_configuration
+        self.metrics = create_front_metrics()
+        self.limits = FleetLimits(
+            create_retry_allowance(settings.bounds),
+            create_cold_pacing(settings.instance, settings.bounds),
+            create_weighted_split(rng),
+        )
+        durations = create_durations(settings.region)
+        chooser = create_chooser(
+            self.endpoints, durations, self.limits.cold, self.fleet, rng
+        )
+        self.server = create_request_server(
+            self.knowledge, chooser, durations, self.limits, self.metrics, now
+        )
+        self._store = create_store_client(*settings.store, STORE_TIMEOUT_S)
+        self._watches = {
+            table: self._create_watch(table)
+            for table in (OPERATOR_TABLE, ENDPOINTS_TABLE)
+        }
+        self._tasks = []
+
+    def start(self):
+        """Begin service."""
+        listen = self.settings.listen
+        application = create_front_application(self._serve, lambda: self.stopping)
+        self._servers = [
+            create_front_server(listen.callers, application),
+            *(
+                create_server(*place, application)
+                for place, application in (
+                    (listen.health, self._health),
+                    (listen.lookup, self._lookup),
+                    (listen.peers, self._export),
+                    (listen.metrics, self._metrics),
+                )
+            ),
+        ]
+        for server in self._servers:
+            server.start()
+        self.fleet.start()
+        for watch in self._watches.values():
+            watch.start()
+        self._tasks = [
+            gevent.spawn(self._register),
+            repeat(self._tick, TICK_S),
+            repeat(self._check_settings, SETTINGS_PERIOD_S),
+        ]
+        log_event(
+            LOG,
+            "started",
+            instance=self.settings.instance,
+            address=self.settings.address,
+            domain=self.settings.domain,
+            process=os.getpid(),
+        )
+
+    def wait(self):
+        """Wait until the instance has stopped."""
+        self._stopped.wait()
+
+    def stop(self):
+        """Stop as planned: no request in flight is cut."""
+        if self.stopping:
+            return
+        self._began_stop = began = self._clock.monotonic()
+        self.stopping = True
+        self.fleet.leaving = True
+        log_event(LOG, "stopping", in_flight=self.in_flight)
+        gevent.spawn(self._unregister)
+        grace_s = self.settings.bounds.grace_s
+        end = began + END_PART * grace_s
+        gevent.sleep(LEAVE_PART * grace_s)
+        while self.in_flight and self._clock.monotonic() < end:
+            gevent.sleep(STOP_POLL_S)
+        log_event(
+            LOG,
+            "stopped",
+            in_flight=self.in_flight,
+            took_s=self._clock.monotonic() - began,
+        )
+        self.close()
+
+    def close(self):
+        """End at once."""
+        gevent.killall(self._tasks)
+        for watch in self._watches.values():
+            watch.close()
+        self.fleet.close()
+        for server in self._servers:
+            server.stop(timeout=0)
+        self.endpoints.close()
+        self._store.close()
+        self._stopped.set()
+
+    def reload(self):
+        """Read the settings file again; faulty settings change nothing."""
+        try:
+            settings = read_settings(self._settings_file)
+        except SettingsError as exc:
+            log_event(LOG, "settings-refused", "error", reason=exc.message)
+            return
+        self._settings_seen = _modified(self._settings_file)
+        self.limits.retries.configure(settings.bounds)
+        self.limits.cold.configure(settings.bounds)
+        self.endpoints.domains = settings.domains
+        self.settings = self.settings._replace(
+            bounds=settings.bounds, domains=settings.domains, seeds=settings.seeds
+        )
+        log_event(LOG, "reloaded", file=self._settings_file)
+
+    def _create_watch(self, table):
+        def on_rows(rows, whole, away):
+            self.knowledge.apply(table, rows, whole, away)
+
+        return create_table_watch(
+            self._store,
+            table,
+            on_rows,
+            lambda: self._ask_peer(table),
+            self._clock.monotonic,
+        )
+
+    def _serve(self, environ):
+        self.in_flight += 1
+        try:
+            return self.server.serve(environ, self._left_s())
+        finally:
+            self.in_flight -= 1
+
+    def _left_s(self):
+        """Return the seconds for which requests may still be taken, if limited."""
+        if not self.stopping:
+            return None
+        stopping_s = self._clock.monotonic() - self._began_stop
+        if stopping_s > ACCEPT_PART * self.settings.bounds.grace_s:
+            return 0.0
+        return END_PART * self.settings.bounds.grace_s - stopping_s
+
+    def _health(self, environ, start_response):
+        if environ["PATH_INFO"] != "/ready":
+            return json_answer(start_response, 404, {"error": "no such path"})
+        ready = self.knowledge.ready() and not self.stopping
+        return json_answer(start_response, 200 if ready else 503, {"ready": ready})
+
+    def _lookup(self, environ, start_response):
+        _, region, domain = lookup_place(environ)
+        chosen = self._instances_for(region)
+        self.metrics.looked_up()
+        log_event(
+            LOG,
+            "lookup",
+            region=region or "none",
+            domain=domain or "none",
+            chosen=",".join(card.name for card in chosen),
+        )
+        if not chosen:
+            return json_answer(start_response, 503, {"error": "no instance is live"})
+        port = self.settings.listen.callers[1]
+        ttl_s = min(LOOKUP_TTL_S, self.settings.bounds.lookup_ttl_s)
+        body = lookup_body([(card.host, port) for card in chosen], ttl_s)
+        return json_answer(start_response, 200, body)
+
+    def _instances_for(self, region):
+        live = self.fleet.live()
+        return [card for card in live if card.region == region] or live
+
+    def _export(self, environ, start_response):
+        table = environ["PATH_INFO"].removeprefix("/tables/")
+        watch = self._watches.get(table)
+        exported = None
+        if watch is not None and not watch.lost:
+            exported = self.knowledge.export(table)
+        if exported is None:
+            return json_answer(start_response, 404, {"error": "not known here"})
+        return json_answer(start_response, 200, exported)
+
+    def _metrics(self, environ, start_response):
+        self.metrics.set_gauge("in_flight", self.in_flight)
+        self.metrics.set_gauge("instances_live", len(self.fleet.live()))
+        self.metrics.set_gauge("endpoints", len(self.endpoints))
+        self.metrics.set_gauge("config_version", self.fleet.config)
+        raw = self.metrics.render()
+        kind = "text/plain; version=0.0.4; charset=utf-8"
+        headers = [("Content-Type", kind), ("Content-Length", str(len(raw)))]
+        start_response("200 OK", headers)
+        return [raw]
+
+    def _ask_peer(self, table):
+        """Return a table as another instance knows it, or None."""
+        port = self.settings.listen.peers[1]
+        places = [(card.host, port) for card in self.fleet.live()[1:]]
+        places = places or list(self.settings.seeds)
+        own = (self.settings.address, port)
+        places = [place for place in places if place != own]
+        if not places:
+            return None
+        place = self._rng.choice(places)
+        client = create_json_client(*place, f"instance {place[0]}", PEER_TIMEOUT_S)
+        try:
+            answer = client.call("GET", f"/tables/{table}")
+            if answer.status != 200:
+                return None
+            return read_exported(answer.body, place[0])
+        except PeerError as exc:
+            log_event(LOG, "peer-failed", "warning", peer=exc.peer, reason=exc.message)
+            return None
+        finally:
+            client.close()
+
+    def _register(self):
+        """Write this instance's row, and learn of the others."""
+        card = msgspec.json.encode(self.fleet.card)
+        while True:
+            try:
+                listed = self._store.read(INSTANCES_TABLE).rows
+                known = {row.key: row.value for row in listed}
+                self._introduce(known)
+                if known.get(self.settings.instance) != card:
+                    self._store.put(INSTANCES_TABLE, self.settings.instance, card)
+                return
+            except StoreError as exc:
+                log_event(LOG, "not-registered", "warning", reason=exc.message)
+                gevent.sleep(REGISTER_RETRY_S)
+
+    def _introduce(self, known):
+        for name, value in known.items():
+            try:
+                self.fleet.introduce(msgspec.json.decode(value, type=PeerCard))
+            except msgspec.DecodeError as exc:
+                log_event(LOG, "bad-instance", "warning", row=name, reason=str(exc))
+
+    def _unregister(self):
+        try:
+            self._store.put(INSTANCES_TABLE, self.settings.instance, None)
+        except StoreError as exc:
+            log_event(LOG, "not-unregistered", "warning", reason=exc.message)
+
+    def _tick(self):
+        self.endpoints.drop_lapsed()
+        for state in self.endpoints:
+            state.client.close_stale()
+        self.limits.cold.forget(lambda name: self.endpoints.get(name) is not None)
+
+    def _take_configuration(self, cfg):
+        self.limits.split.forget(
+            {(r.name, r.split) for routes in cfg.hosts.values() for r in routes}
+        )
+
+    def _check_settings(self):
+        if _modified(self._settings_file) != self._settings_seen:
+            self.reload()
+
+
+def _modified(file):
+    try:
+        status = os.stat(file)
+    except OSError:
+        return None
+    return status.st_mtime_ns, status.st_size, status.st_ino
+
+
+def create_front(settings, settings_file, clock=None, seed=None):
+    """Return an instance that is not yet started.
+
+    Parameters
+    ----------
+    settings : InstanceSettings
+        Checked settings.
+    settings_file : str
+        Where they came from.
+    clock : Clock, default=None
+        Source of time; that of the system if None.
+    seed : int, default=None
+        Seed of the source of randomness.
+
+    Returns
+    -------
+    Front
+    """
+    clock = clock or system_clock()
+    return Front(settings, settings_file, clock, random.Random(seed))
+
+
+def run_front(settings, settings_file):
+    """Run an instance until a signal stops it.
+
+    Parameters
+    ----------
+    settings : InstanceSettings
+        Checked settings.
+    settings_file : str
+        Where they came from.
+
+    Returns
+    -------
+    int
+        Exit status.
+    """
+    front = create_front(settings, settings_file)
+    signal_handler(SIGTERM, lambda: gevent.spawn(front.stop))
+    signal_handler(SIGINT, lambda: gevent.spawn(front.stop))
+    signal_handler(SIGHUP, front.reload)
+    front.start()
+    front.wait()
+    return 0
--- /dev/null
+++ b/quetzalwall/process/knowledge/__init__.py
@@ -0,0 +1,1 @@
+"""What an instance knows: from the store, from its peers and from answers."""
--- /dev/null
+++ b/quetzalwall/process/knowledge/endpoint_state.py
@@ -0,0 +1,217 @@
+"""What an instance knows of one endpoint."""
+
+import math
+
+from quetzalwall.connection.endpoint_client import create_endpoint_client
+
+__all__ = ["EndpointState", "create_endpoint_state"]
+
+SLOWNESS_MEMORY_S = 0.6  # a noisy neighbour comes and goes about as fast
+AVOID_FIRST_S = 0.5
+AVOID_MOST_S = 4.0
+FAILURES_TO_AVOID = 2
+SHED_AVOID_S = 0.15  # a full endpoint frees a slot about as often
+
+
+class EndpointState:
+    """One endpoint, from its registration until it is forgotten.
+
+    Parameters
+    ----------
+    entry : EndpointEntry
+        What the registry says.
+    region : str
+        Region of its failure domain.
+    client : EndpointClient
+        Connections to it.
+    now : float
+        Monotonic seconds.
+
+    Attributes
+    ----------
+    own_open : int
+        Requests of this instance that are under way there.
+    peer_open : int
+        Requests of the other instances, by their last reports.
+    present : bool
+        Whether the registry holds it, or held it until the store went away.
+    """
+
+    def __init__(self, entry, region, client, now):
+        self.entry = entry
+        self.region = region
+        self.client = client
+        self.own_open = 0
+        self.peer_open = 0
+        self.present = True
+        self.lapsed_until = None
+        self.wrong_address = False
+        self.cold_until = now + entry.cold_s
+        self._slowness = 1.0
+        self._slowness_at = -math.inf
+        self._slowness_own = False
+        self._failures = 0
+        self._avoid_s = AVOID_FIRST_S
+        self._avoid_until = -math.inf
+
+    @property
+    def name(self):
+        """Name of the endpoint."""
+        return self.entry.name
+
+    def usable(self):
+        """Return whether it may get new requests.
+
+        Returns
+        -------
+        bool
+        """
+        return self.present and not self.entry.leaving and not self.wrong_address
+
+    def avoided(self, now):
+        """Return whether it failed lately and should be left alone.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        bool
+        """
+        return now < self._avoid_until
+
+    def cold(self, now):
+        """Return whether it is cold.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        bool
+        """
+        return now < self.cold_until
+
+    def open(self):
+        """Return the requests under way there, from all instances.
+
+        Returns
+        -------
+        int
+        """
+        return self.own_open + self.peer_open
+
+    def slowness(self, now):
+        """Return how long work takes there now, 1.0 being usual.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        float
+        """
+        age_s = now - self._slowness_at
+        if age_s > 4 * SLOWNESS_MEMORY_S:
+            return 1.0
+        return 1.0 + (self._slowness - 1.0) * math.exp(-age_s / SLOWNESS_MEMORY_S)
+
+    def note_slowness(self, slowness, at, own=False):
+        """Record how long work takes, as the endpoint said.
+
+        Parameters
+        ----------
+        slowness : float
+            1.0 is usual.
+        at : float
+            Monotonic seconds at which it said so; an older report changes nothing.
+        own : bool, default=False
+            Whether it told this instance, which then tells the others.
+        """
+        if at > self._slowness_at:
+            self._slowness, self._slowness_at = slowness, at
+            self._slowness_own = own
+
+    def own_slowness_since(self, since):
+        """Return what the endpoint told this instance after a moment.
+
+        Parameters
+        ----------
+        since : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        (float, float) or None
+            Slowness and the moment of the report.
+        """
+        if not self._slowness_own or self._slowness_at <= since:
+            return None
+        return self._slowness, self._slowness_at
+
+    def note_success(self):
+        """Record a sound answer."""
+        self._failures = 0
+        self._avoid_s = AVOID_FIRST_S
+
+    def note_failure(self, now, certain=False):
+        """Record an answer that did not come or was spoiled.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        certain : bool, default=False
+            Whether one failure suffices, as when no connection is accepted.
+
+        Returns
+        -------
+        bool
+            Whether the endpoint is avoided from now on.
+        """
+        self._failures += 1
+        if self._failures < FAILURES_TO_AVOID and not certain:
+            return False
+        self._avoid_until = now + self._avoid_s
+        self._avoid_s = min(AVOID_MOST_S, 2 * self._avoid_s)
+        return True
+
+    def note_shed(self, now):
+        """Record that the endpoint refused a request since it is full.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        """
+        self._avoid_until = max(self._avoid_until, now + SHED_AVOID_S)
+
+
+def create_endpoint_state(entry, region, read_facts, monotonic):
+    """Return the state of a newly registered endpoint.
+
+    Parameters
+    ----------
+    entry : EndpointEntry
+        What the registry says.
+    region : str
+        Region of its failure domain.
+    read_facts : callable
+        From status and headers of an answer to what they say.
+    monotonic : callable
+        Clock in seconds.
+
+    Returns
+    -------
+    EndpointState
+    """
+    client = create_endpoint_client(
+        entry.name, entry.host, entry.port, read_facts, monotonic
+    )
+    return EndpointState(entry, region, client, monotonic())
--- /dev/null
+++ b/quetzalwall/process/knowledge/endpoint_table.py
@@ -0,0 +1,278 @@
+"""All endpoints that the registry names, by service."""
+
+import xxhash
+
+from quetzalwall.logs import get_logger, log_event
+from quetzalwall.process.knowledge.endpoint_state import create_endpoint_state
+
+__all__ = ["EndpointTable", "create_endpoint_table"]
+
+RETURN_GRACE_S = 2.0  # lapsed entries are back by then, says the platform
+LOG = get_logger("endpoints")
+
+
+class EndpointTable:
+    """Endpoints by identity and by service.
+
+    Parameters
+    ----------
+    domains : dict of str to str
+        Region of each failure domain.
+    read_facts : callable
+        From status and headers of an answer to what they say.
+    monotonic : callable
+        Clock in seconds.
+
+    Attributes
+    ----------
+    evacuated : set of str
+        Failure domains whose endpoints get nothing.
+    """
+
+    def __init__(self, domains, read_facts, monotonic):
+        self.domains = domains
+        self.evacuated = set()
+        self._read_facts = read_facts
+        self._monotonic = monotonic
+        self._states = {}
+        self._services = {}
+        self._orders = {}
+        self._codes = {}
+
+    def __len__(self):
+        return len(self._states)
+
+    def __iter__(self):
+        return iter(list(self._states.values()))
+
+    def get(self, name):
+        """Return an endpoint by its identity, or None.
+
+        Parameters
+        ----------
+        name : str
+            Identity.
+
+        Returns
+        -------
+        EndpointState or None
+        """
+        return self._states.get(name)
+
+    def by_code(self, code):
+        """Return an endpoint by its short code, or None.
+
+        Parameters
+        ----------
+        code : int
+            As `endpoint_code` gives it.
+
+        Returns
+        -------
+        EndpointState or None
+        """
+        return self._codes.get(code)
+
+    def of_service(self, service):
+        """Return the endpoints of a service that may get new requests.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+
+        Returns
+        -------
+        list of EndpointState
+        """
+        return [
+            state
+            for state in self._services.get(service, ())
+            if state.usable() and state.entry.domain not in self.evacuated
+        ]
+
+    def order(self, service, object_key):
+        """Return the rank of each endpoint for an object.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        object_key : str
+            The object.
+
+        Returns
+        -------
+        dict of str to int
+            0 for the endpoint that should hold the object, and so on.
+        """
+        key = (service, object_key)
+        ranks = self._orders.get(key)
+        if ranks is None:
+            names = [state.name for state in self.of_service(service)]
+            names.sort(key=lambda name: _weight(object_key, name))
+            ranks = {name: rank for rank, name in enumerate(names)}
+            self._orders[key] = ranks
+        return ranks
+
+    def put(self, entry):
+        """Take over what the registry says of an endpoint.
+
+        Parameters
+        ----------
+        entry : EndpointEntry
+            The entry.
+        """
+        state = self._states.get(entry.name)
+        moved = state is not None and (
+            state.entry.host != entry.host or state.entry.port != entry.port
+        )
+        if state is None or moved or state.entry.born != entry.born:
+            self._start(entry, state)
+            return
+        old, state.entry = state.entry, entry
+        state.present, state.lapsed_until = True, None
+        if entry.cold_s > 0:
+            state.cold_until = max(state.cold_until, self._monotonic() + entry.cold_s)
+        if old.leaving != entry.leaving or old.service != entry.service:
+            self._index()
+            _log_change("leaving" if entry.leaving else "changed", entry)
+
+    def remove(self, name, away):
+        """Note that the registry no longer holds an endpoint.
+
+        Parameters
+        ----------
+        name : str
+            Identity.
+        away : bool
+            Whether the store was away, so that the entry may have lapsed.
+        """
+        state = self._states.get(name)
+        if state is None:
+            return
+        if away and state.present and not state.entry.leaving:
+            state.lapsed_until = self._monotonic() + RETURN_GRACE_S
+            _log_change("lapsed", state.entry)
+            return
+        self._drop(state)
+
+    def drop_lapsed(self):
+        """Forget endpoints whose entries did not return with the store."""
+        now = self._monotonic()
+        for state in list(self._states.values()):
+            if state.lapsed_until is not None and now >= state.lapsed_until:
+                self._drop(state)
+
+    def evacuate(self, domains, cold_s):
+        """Set the failure domains whose endpoints get nothing.
+
+        Parameters
+        ----------
+        domains : set of str
+            Failure domains.
+        cold_s : callable
+            From a service's name to the seconds for which its endpoints are cold.
+        """
+        if domains == self.evacuated:
+            return
+        back = self.evacuated - domains
+        log_event(
+            LOG,
+            "evacuated",
+            domains=",".join(sorted(domains)) or "none",
+            back=",".join(sorted(back)) or "none",
+        )
+        self.evacuated = set(domains)
+        now = self._monotonic()
+        for state in self._states.values():
+            if state.entry.domain in back:
+                # Without work they lose what made them fast.
+                until = now + cold_s(state.entry.service)
+                state.cold_until = max(state.cold_until, until)
+        self._index()
+
+    def close(self):
+        """Close all connections."""
+        for state in self._states.values():
+            state.client.close()
+
+    def _start(self, entry, old):
+        region = self.domains.get(entry.domain, "")
+        state = create_endpoint_state(entry, region, self._read_facts, self._monotonic)
+        if old is not None:
+            old.present = False
+            old.client.close()
+        for other in self._states.values():
+            same = (other.entry.host, other.entry.port) == (entry.host, entry.port)
+            if same and other.name != entry.name and other.entry.born <= entry.born:
+                other.wrong_address = True
+        self._states[entry.name] = state
+        self._codes[endpoint_code(entry.name)] = state
+        self._index()
+        _log_change("registered" if old is None else "restarted", entry)
+
+    def _drop(self, state):
+        state.present = False
+        state.client.close()
+        self._states.pop(state.name, None)
+        self._codes.pop(endpoint_code(state.name), None)
+        self._index()
+        _log_change("gone", state.entry)
+
+    def _index(self):
+        self._orders.clear()
+        self._services = {}
+        for state in self._states.values():
+            self._services.setdefault(state.entry.service, []).append(state)
+
+
+def endpoint_code(name):
+    """Return a short code of an endpoint, for messages between instances.
+
+    Parameters
+    ----------
+    name : str
+        Identity.
+
+    Returns
+    -------
+    int
+    """
+    return xxhash.xxh32_intdigest(name.encode())
+
+
+def _weight(object_key, name):
+    return xxhash.xxh64_intdigest(f"{object_key}/{name}".encode())
+
+
+def _log_change(event, entry):
+    log_event(
+        LOG,
+        event,
+        endpoint=entry.name,
+        service=entry.service,
+        place=f"{entry.host}:{entry.port}",
+        domain=entry.domain,
+        cold_s=entry.cold_s,
+        born=entry.born,
+    )
+
+
+def create_endpoint_table(domains, read_facts, monotonic):
+    """Return an empty table of endpoints.
+
+    Parameters
+    ----------
+    domains : dict of str to str
+        Region of each failure domain.
+    read_facts : callable
+        From status and headers of an answer to what they say.
+    monotonic : callable
+        Clock in seconds.
+
+    Returns
+    -------
+    EndpointTable
+    """
+    return EndpointTable(domains, read_facts, monotonic)
--- /dev/null
+++ b/quetzalwall/process/knowledge/fleet.py
@@ -0,0 +1,349 @@
+"""The other instances: who runs, and how many requests each has open where.
+
+Every instance sends small datagrams to the others. Each holds the whole state of its
+sender, so that a lost one is made good by the next.
+"""
+
+import math
+from typing import NamedTuple
+
+import gevent
+import gevent.socket
+import msgspec
+
+from quetzalwall.logs import get_logger, log_event
+from quetzalwall.process.knowledge.endpoint_table import endpoint_code
+
+__all__ = ["Fleet", "Peer", "PeerCard", "PeerReport", "create_fleet"]
+
+PERIOD_S = 0.1
+MOST_DATAGRAMS_PER_S = 60.0  # of one instance; a large fleet reports less often
+SILENT_AFTER_S = 1.5
+SILENT_PERIODS = 6
+FORGET_AFTER_S = 30.0
+MOST_DATAGRAM_BYTES = 60_000
+CALL_EVERY_S = 1.0  # to known instances that are silent
+LOG = get_logger("fleet")
+
+
+class PeerCard(NamedTuple):
+    """Who an instance is.
+
+    Attributes
+    ----------
+    name, region, domain : str
+        Name, region and failure domain.
+    host : str
+        IP number.
+    """
+
+    name: str
+    region: str
+    domain: str
+    host: str
+
+
+class PeerReport(NamedTuple):
+    """One datagram.
+
+    Attributes
+    ----------
+    card : PeerCard
+        The sender.
+    process : int
+        Random number of the sender's process.
+    sequence : int
+        Grows with each datagram of this process.
+    leaving : bool
+        Whether it is about to stop.
+    config : int
+        Version of its configuration; 0 if it has none.
+    open : list of (int, int)
+        Code of an endpoint, and requests of the sender open there.
+    slow : list of (int, int, int)
+        Code of an endpoint, its slowness in hundredths, and the report's age in ms.
+    """
+
+    card: PeerCard
+    process: int
+    sequence: int
+    leaving: bool
+    config: int
+    open: list[tuple[int, int]]
+    slow: list[tuple[int, int, int]]
+
+
+DECODER = msgspec.msgpack.Decoder(PeerReport)
+ENCODER = msgspec.msgpack.Encoder()
+
+
+class Peer:
+    """What is known of one other instance.
+
+    Parameters
+    ----------
+    card : PeerCard
+        Who it is.
+    """
+
+    def __init__(self, card):
+        self.card = card
+        self.process = None
+        self.former_process = None
+        self.sequence = -1
+        self.leaving = False
+        self.heard = -math.inf
+        self.open = {}
+        self.called = -math.inf
+        self.silent = True
+
+
+class Fleet:
+    """The instances that this one knows.
+
+    Parameters
+    ----------
+    card : PeerCard
+        This instance.
+    port : int
+        UDP port, the same on every instance.
+    endpoints : EndpointTable
+        Gets the open requests of the others.
+    monotonic : callable
+        Clock in seconds.
+    process : int
+        Random number of this process; a restarted one has another.
+    """
+
+    def __init__(self, card, port, endpoints, monotonic, process):
+        self.card = card
+        self.leaving = False
+        self.config = 0
+        self._port = port
+        self._endpoints = endpoints
+        self._monotonic = monotonic
+        self._process = process
+        self._sequence = 0
+        self._slow_since = -math.inf
+        self._peers = {}
+        self._tasks = []
+        self._sock = None
+
+    def start(self):
+        """Begin to send and to listen."""
+        sock = gevent.socket.socket(gevent.socket.AF_INET, gevent.socket.SOCK_DGRAM)
+        sock.bind((self.card.host, self._port))
+        self._sock = sock
+        self._tasks = [gevent.spawn(self._listen), gevent.spawn(self._report)]
+
+    def close(self):
+        """Stop."""
+        gevent.killall(self._tasks)
+        if self._sock is not None:
+            self._sock.close()
+
+    def introduce(self, card):
+        """Take over an instance that the store names; it may run or not.
+
+        Parameters
+        ----------
+        card : PeerCard
+            Who it is.
+        """
+        if card.name != self.card.name and card.name not in self._peers:
+            self._peers[card.name] = Peer(card)
+
+    def live(self):
+        """Return the instances that callers may use, this one included.
+
+        Returns
+        -------
+        list of PeerCard
+        """
+        cards = [
+            peer.card
+            for peer in self._peers.values()
+            if not peer.silent and not peer.leaving
+        ]
+        return cards if self.leaving else [self.card, *cards]
+
+    def size(self):
+        """Return the number of instances that may send requests to endpoints.
+
+        Returns
+        -------
+        int
+            Silent ones count for a while: they may be cut off and at work.
+        """
+        return len(self.names())
+
+    def names(self):
+        """Return the names of the instances that may send requests to endpoints.
+
+        Returns
+        -------
+        list of str
+        """
+        now = self._monotonic()
+        names = [
+            peer.card.name
+            for peer in self._peers.values()
+            if now - peer.heard < FORGET_AFTER_S
+        ]
+        return [self.card.name, *names]
+
+    def receive(self, report, now):
+        """Take over what another instance reports.
+
+        Parameters
+        ----------
+        report : PeerReport
+            The report.
+        now : float
+            Monotonic seconds.
+        """
+        name = report.card.name
+        if name == self.card.name:
+            return
+        peer = self._peers.get(name)
+        if peer is None:
+            peer = self._peers[name] = Peer(report.card)
+        if not _is_newer(report, peer):
+            return
+        peer.card = report.card
+        if report.process != peer.process:
+            peer.former_process, peer.process = peer.process, report.process
+        peer.sequence = report.sequence
+        if peer.silent:
+            log_event(LOG, "heard", peer=name, domain=peer.card.domain)
+        if report.leaving and not peer.leaving:
+            log_event(LOG, "leaving", peer=name)
+        peer.leaving = report.leaving
+        peer.heard, peer.silent = now, False
+        self._set_open(peer, dict(report.open))
+        for code, hundredths, age_ms in report.slow:
+            state = self._endpoints.by_code(code)
+            if state is not None:
+                state.note_slowness(hundredths / 100, now - age_ms / 1000)
+
+    def period_s(self):
+        """Return the seconds between two reports of an instance.
+
+        Returns
+        -------
+        float
+        """
+        return max(PERIOD_S, len(self._peers) / MOST_DATAGRAMS_PER_S)
+
+    def expire(self, now):
+        """Find out which instances have fallen silent.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        """
+        limit_s = max(SILENT_AFTER_S, SILENT_PERIODS * self.period_s())
+        for peer in self._peers.values():
+            if not peer.silent and now - peer.heard > limit_s:
+                peer.silent = True
+                self._set_open(peer, {})
+                log_event(
+                    LOG,
+                    "silent",
+                    "warning",
+                    peer=peer.card.name,
+                    domain=peer.card.domain,
+                    silent_s=now - peer.heard,
+                )
+
+    def _set_open(self, peer, counts):
+        for code, count in peer.open.items():
+            state = self._endpoints.by_code(code)
+            if state is not None:
+                state.peer_open = max(0, state.peer_open - count)
+        peer.open = {}
+        for code, count in counts.items():
+            state = self._endpoints.by_code(code)
+            if state is not None:
+                state.peer_open += count
+                peer.open[code] = count
+
+    def _listen(self):
+        while True:
+            raw, _ = self._sock.recvfrom(MOST_DATAGRAM_BYTES)
+            try:
+                report = DECODER.decode(raw)
+            except msgspec.DecodeError as exc:
+                log_event(LOG, "bad-datagram", "warning", reason=str(exc))
+                continue
+            self.receive(report, self._monotonic())
+
+    def _report(self):
+        while True:
+            now = self._monotonic()
+            self.expire(now)
+            raw = ENCODER.encode(self._own_report(now))
+            for peer in list(self._peers.values()):
+                if peer.silent and now - peer.called < CALL_EVERY_S:
+                    continue
+                peer.called = now
+                self._send(raw, peer.card.host)
+            gevent.sleep(self.period_s())
+
+    def _send(self, raw, host):
+        try:
+            self._sock.sendto(raw, (host, self._port))
+        except OSError as exc:
+            log_event(LOG, "not-sent", "warning", peer=host, reason=str(exc))
+
+    def _own_report(self, now):
+        self._sequence += 1
+        since, self._slow_since = self._slow_since, now
+        opened, slow = [], []
+        for state in self._endpoints:
+            code = endpoint_code(state.name)
+            if state.own_open:
+                opened.append((code, state.own_open))
+            seen = state.own_slowness_since(since)
+            if seen is not None:
+                slow.append((code, int(seen[0] * 100), int((now - seen[1]) * 1000)))
+        return PeerReport(
+            self.card,
+            self._process,
+            self._sequence,
+            self.leaving,
+            self.config,
+            opened,
+            slow,
+        )
+
+
+def _is_newer(report, peer):
+    """Return whether a report is no late one; wall clocks may step, so none is used."""
+    if report.process == peer.process:
+        return report.sequence > peer.sequence
+    return report.process != peer.former_process
+
+
+def create_fleet(card, port, endpoints, monotonic, process):
+    """Return a view of the other instances, not yet started.
+
+    Parameters
+    ----------
+    card : PeerCard
+        This instance.
+    port : int
+        UDP port, the same on every instance.
+    endpoints : EndpointTable
+        Gets the open requests of the others.
+    monotonic : callable
+        Clock in seconds.
+    process : int
+        Random number of this process; a restarted one has another.
+
+    Returns
+    -------
+    Fleet
+    """
+    return Fleet(card, port, endpoints, monotonic, process)
--- /dev/null
+++ b/quetzalwall/process/knowledge/knowledge.py
@@ -0,0 +1,227 @@
+"""Everything an instance knows of configuration, endpoints and other instances."""
+
+import base64
+
+from quetzalwall.exceptions import PeerError
+from quetzalwall.logs import get_logger, log_event
+from quetzalwall.platform.rows import (
+    CONFIG_KEY,
+    ENDPOINTS_TABLE,
+    EVACUATION_PREFIX,
+    OPERATOR_TABLE,
+    RowError,
+    decode_configuration,
+    decode_endpoint,
+)
+from quetzalwall.platform.store import RowChange, Rows
+
+__all__ = ["Knowledge", "create_knowledge", "read_exported"]
+
+LOG = get_logger("config")
+
+
+class Knowledge:
+    """Configuration in force, endpoints, fleet, and the rows that they come from.
+
+    Parameters
+    ----------
+    endpoints : EndpointTable
+        The endpoints.
+    fleet : Fleet
+        The other instances.
+
+    Attributes
+    ----------
+    on_configuration : callable or None
+        Called with each configuration that comes into force.
+    """
+
+    def __init__(self, endpoints, fleet):
+        self.endpoints = endpoints
+        self.fleet = fleet
+        self.on_configuration = None
+        self._cfg = None
+        self._rows = {OPERATOR_TABLE: {}, ENDPOINTS_TABLE: {}}
+        self._versions = {}
+
+    def configuration(self):
+        """Return the configuration in force, or None.
+
+        Returns
+        -------
+        Configuration or None
+        """
+        return self._cfg
+
+    def ready(self):
+        """Return whether requests can be served.
+
+        Returns
+        -------
+        bool
+        """
+        return self._cfg is not None and ENDPOINTS_TABLE in self._versions
+
+    def apply(self, table, rows, whole, away):
+        """Take over rows of a table.
+
+        Parameters
+        ----------
+        table : str
+            Name of the table.
+        rows : Rows
+            Changes in order.
+        whole : bool
+            Whether they are all rows of the table.
+        away : bool
+            Whether the store was away, so that entries may have lapsed.
+        """
+        if whole and rows.version < self._versions.get(table, 0):
+            log_event(LOG, "stale-rows", "warning", table=table, version=rows.version)
+            return
+        changes = list(rows.rows)
+        if whole:
+            listed = {change.key for change in changes}
+            changes += [
+                RowChange(key, None, rows.version)
+                for key in self._rows[table]
+                if key not in listed
+            ]
+        for change in changes:
+            if change.value is None:
+                self._rows[table].pop(change.key, None)
+            else:
+                self._rows[table][change.key] = change.value
+        self._versions[table] = rows.version
+        if table == OPERATOR_TABLE:
+            self._apply_operator(changes)
+        else:
+            self._apply_endpoints(changes, away)
+
+    def export(self, table):
+        """Return a table as another instance may take it over.
+
+        Parameters
+        ----------
+        table : str
+            Name of the table.
+
+        Returns
+        -------
+        dict or None
+            None if this instance has not read it.
+        """
+        if table not in self._versions:
+            return None
+        rows = {
+            key: base64.b64encode(value).decode()
+            for key, value in self._rows[table].items()
+        }
+        return {"version": self._versions[table], "rows": rows}
+
+    def _apply_operator(self, changes):
+        for change in changes:
+            if change.key == CONFIG_KEY and change.value is not None:
+                self._take_configuration(change)
+        prefix = len(EVACUATION_PREFIX)
+        domains = {
+            key[prefix:]
+            for key in self._rows[OPERATOR_TABLE]
+            if key.startswith(EVACUATION_PREFIX)
+        }
+        self.endpoints.evacuate(domains, self._cold_s)
+
+    def _take_configuration(self, change):
+        try:
+            cfg = decode_configuration(change.value)
+        except RowError as exc:
+            log_event(LOG, "refused", "error", row=change.version, reason=exc.message)
+            return
+        known = self._cfg.version if self._cfg else 0
+        if cfg.version <= known:
+            if cfg.version < known:
+                log_event(LOG, "older", "warning", version=cfg.version, known=known)
+            return
+        self._cfg = cfg
+        self.fleet.config = cfg.version
+        log_event(
+            LOG,
+            "in-force",
+            version=cfg.version,
+            before=known,
+            row=change.version,
+            hosts=len(cfg.hosts),
+            services=len(cfg.services),
+        )
+        if self.on_configuration is not None:
+            self.on_configuration(cfg)
+
+    def _cold_s(self, service):
+        spec = self._cfg.services.get(service) if self._cfg else None
+        return spec.cold_s if spec else 0.0
+
+    def _apply_endpoints(self, changes, away):
+        for change in changes:
+            if change.value is None:
+                self.endpoints.remove(change.key, away)
+                continue
+            try:
+                entry = decode_endpoint(change.key, change.value)
+            except RowError as exc:
+                log_event(
+                    LOG,
+                    "bad-endpoint",
+                    "warning",
+                    endpoint=change.key,
+                    row=change.version,
+                    reason=exc.message,
+                )
+                continue
+            self.endpoints.put(entry)
+
+
+def read_exported(body, peer):
+    """Return the rows that another instance exported.
+
+    Parameters
+    ----------
+    body : object
+        Decoded JSON.
+    peer : str
+        The instance, for errors.
+
+    Returns
+    -------
+    Rows
+
+    Raises
+    ------
+    PeerError
+        They can't be read.
+    """
+    try:
+        version = int(body["version"])
+        rows = [
+            RowChange(key, base64.b64decode(value, validate=True), version)
+            for key, value in body["rows"].items()
+        ]
+    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+        raise PeerError(f"bad rows: {exc!r}", step="read rows", peer=peer) from exc
+    return Rows(rows, version)
+
+
+def create_knowledge(endpoints, fleet):
+    """Return knowledge that holds nothing yet.
+
+    Parameters
+    ----------
+    endpoints : EndpointTable
+        The endpoints.
+    fleet : Fleet
+        The other instances.
+
+    Returns
+    -------
+    Knowledge
+    """
+    return Knowledge(endpoints, fleet)
--- /dev/null
+++ b/quetzalwall/process/knowledge/store_watch.py
@@ -0,0 +1,155 @@
+"""Keep what the store says up to date: one task for each table."""
+
+import gevent
+
+from quetzalwall.exceptions import StoreError
+from quetzalwall.logs import get_logger, log_event
+from quetzalwall.platform.store import HistoryGone
+
+__all__ = ["TableWatch", "create_table_watch"]
+
+FEED_WAIT_S = 1.5  # a silent connection is noticed within this and the call's limit
+PAUSE_S = 0.25  # between two calls, so that one call brings several changes
+RETRY_FIRST_S = 0.2
+RETRY_MOST_S = 1.0
+AWAY_AFTER_S = 3.0  # without contact, entries may have lapsed
+LOG = get_logger("store")
+
+
+class TableWatch:
+    """Follows one table of the store.
+
+    Parameters
+    ----------
+    store : StoreClient
+        The store.
+    table : str
+        Name of the table.
+    on_rows : callable
+        Called with `Rows`, whether they are all rows of the table, and whether the
+        store was away before.
+    ask_peer : callable
+        Returns all rows as another instance knows them, or None.
+    monotonic : callable
+        Clock in seconds.
+
+    Attributes
+    ----------
+    loaded : bool
+        Whether the table has been read.
+    contact : float
+        Monotonic seconds of the last answer.
+    lost : bool
+        Whether the last call failed.
+    """
+
+    def __init__(self, store, table, on_rows, ask_peer, monotonic):
+        self.loaded = False
+        self.lost = False
+        self.contact = monotonic()
+        self._store = store
+        self._table = table
+        self._on_rows = on_rows
+        self._ask_peer = ask_peer
+        self._monotonic = monotonic
+        self._version = None
+        self._pause_s = RETRY_FIRST_S
+        self._task = None
+
+    def start(self):
+        """Begin to follow."""
+        self._task = gevent.spawn(self._run)
+
+    def close(self):
+        """Stop following."""
+        if self._task is not None:
+            self._task.kill()
+
+    def away(self):
+        """Return whether the store has not answered for a while.
+
+        Returns
+        -------
+        bool
+        """
+        return self.lost and self._monotonic() - self.contact > AWAY_AFTER_S
+
+    def _run(self):
+        while True:
+            try:
+                self._step()
+                gevent.sleep(PAUSE_S)
+            except HistoryGone:
+                log_event(LOG, "history-gone", "warning", table=self._table)
+                self._version = None
+            except StoreError as exc:
+                self._note_lost(exc)
+                self._take_from_peer()
+                gevent.sleep(self._pause_s)
+                self._pause_s = min(RETRY_MOST_S, 2 * self._pause_s)
+
+    def _step(self):
+        whole = self._version is None
+        if whole:
+            rows = self._store.read(self._table)
+        else:
+            rows = self._store.follow(self._table, self._version, FEED_WAIT_S)
+        away = self.away()
+        self._note_contact()
+        self._version = rows.version
+        self._on_rows(rows, whole, away)
+        self.loaded = True
+
+    def _take_from_peer(self):
+        rows = self._ask_peer()
+        if rows is None or rows.version <= (self._version or 0):
+            return
+        self._version = rows.version
+        self._on_rows(rows, True, False)
+        self.loaded = True
+        log_event(LOG, "from-peer", table=self._table, version=rows.version)
+
+    def _note_contact(self):
+        now = self._monotonic()
+        if self.lost:
+            log_event(LOG, "regained", table=self._table, away_s=now - self.contact)
+        self.lost = False
+        self.contact = now
+        self._pause_s = RETRY_FIRST_S
+
+    def _note_lost(self, exc):
+        if not self.lost:
+            log_event(
+                LOG,
+                "lost",
+                "warning",
+                table=self._table,
+                step=exc.step,
+                reason=exc.message,
+                version=self._version,
+            )
+        self.lost = True
+
+
+def create_table_watch(store, table, on_rows, ask_peer, monotonic):
+    """Return a watch that is not yet started.
+
+    Parameters
+    ----------
+    store : StoreClient
+        The store.
+    table : str
+        Name of the table.
+    on_rows : callable
+        Called with `Rows`, whether they are all rows, and whether the store was away
+        before.
+    ask_peer : callable
+        Returns all rows as another instance knows them, or None.
+    monotonic : callable
+        Clock in seconds.
+
+    Returns
+    -------
+    TableWatch
+    """
+    return TableWatch(store, table, on_rows, ask_peer, monotonic)
--- /dev/null
+++ b/quetzalwall/request/choose.py
@@ -0,0 +1,201 @@
+"""Choose an endpoint for a request: the one that should answer soonest.
+
+Everything that matters enters one estimate in seconds: the way there, the wait for a
+slot, the work at the endpoint's present speed, and whether it holds the object.
+"""
+
+from typing import NamedTuple
+
+from quetzalwall.request.estimate import wait_s
+
+__all__ = ["Chooser", "Choice", "Refusal", "create_chooser"]
+
+HOLDERS = 3  # endpoints that are kept warm for one object
+FREE_PART = 0.8
+COLD_RATIO = 2.0
+FULL_RATIO = 4.0  # requests there per slot from which on an endpoint refuses
+SPREAD_S = 0.01  # choices closer than this are as good as equal
+LEAST_RETRY_S = 0.2
+MOST_RETRY_S = 2.0
+
+
+class Choice(NamedTuple):
+    """An endpoint chosen for a request.
+
+    Attributes
+    ----------
+    state : EndpointState
+        The endpoint.
+    rank : int
+        Its rank for the object.
+    known : bool
+        Whether it is one of those that hold the object.
+    expected_s : float
+        Seconds until the answer.
+    wait_s : float
+        Part of it spent waiting for a slot.
+    slowness : float
+        How long work takes there, 1.0 being usual.
+    of : int
+        Endpoints chosen from.
+    """
+
+    state: object
+    rank: int
+    known: bool
+    expected_s: float
+    wait_s: float
+    slowness: float
+    of: int
+
+
+class Refusal(NamedTuple):
+    """Why no endpoint was chosen.
+
+    Attributes
+    ----------
+    reason : str
+        For the log.
+    retry_after_s : float
+        Seconds after which another attempt is worth while.
+    """
+
+    reason: str
+    retry_after_s: float
+
+
+class Chooser:
+    """Chooses endpoints on one instance.
+
+    Parameters
+    ----------
+    endpoints : EndpointTable
+        The endpoints.
+    durations : Durations
+        What work takes.
+    cold_pacing : ColdPacing
+        Which cold endpoints may get a request.
+    fleet : Fleet
+        The other instances.
+    rng : random.Random
+        Breaks ties, so that instances do not all choose the same endpoint.
+    """
+
+    def __init__(self, endpoints, durations, cold_pacing, fleet, rng):
+        self._endpoints = endpoints
+        self._durations = durations
+        self._cold_pacing = cold_pacing
+        self._fleet = fleet
+        self._rng = rng
+
+    def choose(self, cfg, route, service, object_key, left_s, now, tried=()):
+        """Return the endpoint for a request, or why there is none.
+
+        Parameters
+        ----------
+        cfg : Configuration
+            The configuration in force.
+        route : Route
+            The request's route.
+        service : str
+            Service that takes it.
+        object_key : str
+            Object that it concerns.
+        left_s : float
+            Seconds until the deadline.
+        now : float
+            Monotonic seconds.
+        tried : sequence of str, default=()
+            Endpoints that it was already sent to.
+
+        Returns
+        -------
+        Choice or Refusal
+        """
+        candidates = self._candidates(cfg, route, service, now, tried)
+        if not candidates:
+            return Refusal("no endpoint", LEAST_RETRY_S * 2)
+        order = self._endpoints.order(service, object_key) if object_key else {}
+        hold_s = self._durations.hold_s(service)
+        work = {known: self._durations.work_s(route, known) for known in (True, False)}
+        best, best_key = None, None
+        for state in candidates:
+            rank = order.get(state.name, len(order))
+            known = route.sticky and rank < HOLDERS
+            slowness = state.slowness(now)
+            if state.cold(now):
+                slowness *= COLD_RATIO
+            queue_s = slowness * wait_s(
+                state.entry.slots, state.open(), hold_s, FREE_PART
+            )
+            expected_s = (
+                self._durations.round_trip_s(state.region)
+                + queue_s
+                + work[known] * slowness
+            )
+            key = expected_s + self._rng.random() * SPREAD_S
+            if best_key is None or key < best_key:
+                best_key = key
+                best = Choice(
+                    state,
+                    rank,
+                    known,
+                    expected_s,
+                    queue_s,
+                    slowness,
+                    len(candidates),
+                )
+        if best.expected_s > left_s:
+            return Refusal("too late", _retry_after_s(best.wait_s))
+        if best.state.open() >= FULL_RATIO * best.state.entry.slots:
+            return Refusal("full", _retry_after_s(best.wait_s))
+        if best.state.cold(now):
+            self._cold_pacing.note(best.state.name, now)
+        return best
+
+    def _candidates(self, cfg, route, service, now, tried):
+        usable = [
+            state
+            for state in self._endpoints.of_service(service)
+            if (not route.regions or state.region in route.regions)
+            and state.name not in tried
+            and self._bearable(cfg, state, now)
+        ]
+        sound = [state for state in usable if not state.avoided(now)]
+        return sound or usable
+
+    def _bearable(self, cfg, state, now):
+        if not state.cold(now):
+            return True
+        service = cfg.services.get(state.entry.service)
+        if service is None:
+            return True
+        names = self._fleet.names()
+        return self._cold_pacing.allows(state.name, service.cold_per_s, names, now)
+
+
+def _retry_after_s(queue_s):
+    return min(MOST_RETRY_S, max(LEAST_RETRY_S, queue_s))
+
+
+def create_chooser(endpoints, durations, cold_pacing, fleet, rng):
+    """Return a chooser.
+
+    Parameters
+    ----------
+    endpoints : EndpointTable
+        The endpoints.
+    durations : Durations
+        What work takes.
+    cold_pacing : ColdPacing
+        Which cold endpoints may get a request.
+    fleet : Fleet
+        The other instances.
+    rng : random.Random
+        Breaks ties.
+
+    Returns
+    -------
+    Chooser
+    """
+    return Chooser(endpoints, durations, cold_pacing, fleet, rng)
--- /dev/null
+++ b/quetzalwall/request/estimate.py
@@ -0,0 +1,173 @@
+"""What work takes: learned durations and distances."""
+
+import math
+
+__all__ = ["Durations", "create_durations"]
+
+WEIGHT = 0.03
+FAR_S = 0.07  # round trip to another region until one has been measured
+NEAR_S = 0.002
+MOST_RATIO = 3.0  # a longer answer counts as this much; few take many times as long
+KNOWN_PART = 0.5  # of a first guess, that an endpoint with the object takes
+
+
+class Durations:
+    """Durations of work by route, and round trips by region.
+
+    Parameters
+    ----------
+    region : str
+        Region of this instance.
+    """
+
+    def __init__(self, region):
+        self._region = region
+        self._work = {}
+        self._hold = {}
+        self._distance = {}
+
+    def work_s(self, route, known):
+        """Return how long an endpoint of usual speed works on a request.
+
+        Parameters
+        ----------
+        route : Route
+            The route.
+        known : bool
+            Whether the endpoint is one of those that hold the object.
+
+        Returns
+        -------
+        float
+            Seconds.
+        """
+        learned = self._work.get((route.name, known))
+        if learned is not None:
+            return learned
+        return route.target_s * (KNOWN_PART if known else 1.0)
+
+    def hold_s(self, service):
+        """Return how long a request of a service holds a slot.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+
+        Returns
+        -------
+        float
+            Seconds.
+        """
+        return self._hold.get(service, 0.5)
+
+    def round_trip_s(self, region):
+        """Return the seconds to a region and back.
+
+        Parameters
+        ----------
+        region : str
+            Region of an endpoint.
+
+        Returns
+        -------
+        float
+        """
+        default = NEAR_S if region == self._region else FAR_S
+        return self._distance.get(region, default)
+
+    def note_distance(self, region, seconds):
+        """Record how long it took to open a connection.
+
+        Parameters
+        ----------
+        region : str
+            Region of the endpoint.
+        seconds : float
+            One round trip, and what the endpoint took besides.
+        """
+        known = self.round_trip_s(region)
+        # A queue of new connections makes it longer; the least is the distance.
+        self._distance[region] = min(seconds, known + 0.05 * (seconds - known))
+
+    def note_work(self, route, service, known, seconds):
+        """Record how long an endpoint worked on a request, at usual speed.
+
+        Parameters
+        ----------
+        route : Route
+            The route.
+        service : str
+            Service that ran it.
+        known : bool
+            Whether the endpoint is one of those that hold the object.
+        seconds : float
+            Without the way and the wait.
+        """
+        key = (route.name, known)
+        old = self._work.get(key, self.work_s(route, known))
+        seconds = min(seconds, MOST_RATIO * old)
+        self._work[key] = old + WEIGHT * (seconds - old)
+        hold = self.hold_s(service)
+        self._hold[service] = hold + WEIGHT * (seconds - hold)
+
+
+def wait_s(slots, ahead, hold_s, free_part):
+    """Return the expected wait for a slot.
+
+    Parameters
+    ----------
+    slots : int
+        Requests that run at once.
+    ahead : int
+        Requests that run or wait there.
+    hold_s : float
+        Seconds for which a request holds a slot.
+    free_part : float
+        Part of the slots in use from which on a wait is expected: what is known of
+        the requests ahead is a little old.
+
+    Returns
+    -------
+    float
+
+    Examples
+    --------
+    >>> wait_s(6, 2, 0.5, 0.8)
+    0.0
+    >>> wait_s(6, 11, 0.6, 1.0)
+    0.6
+    """
+    return round(max(0.0, ahead + 1 - free_part * slots) / slots * hold_s, 9)
+
+
+def create_durations(region):
+    """Return durations of which nothing is learned yet.
+
+    Parameters
+    ----------
+    region : str
+        Region of this instance.
+
+    Returns
+    -------
+    Durations
+    """
+    return Durations(region)
+
+
+def least(value, other):
+    """Return the smaller of two numbers, of which one may be None.
+
+    Parameters
+    ----------
+    value, other : float or None
+        The numbers.
+
+    Returns
+    -------
+    float
+        Infinity if both are None.
+    """
+    found = [number for number in (value, other) if number is not None]
+    return min(found, default=math.inf)
--- /dev/null
+++ b/quetzalwall/version/model.py
@@ -0,0 +1,161 @@
+"""What one version of the configuration says, in the project's own terms."""
+
+from typing import NamedTuple
+
+__all__ = ["Configuration", "EndpointEntry", "Limits", "Route", "Service", "find_route"]
+
+
+class Limits(NamedTuple):
+    """Limits on what callers may send.
+
+    Attributes
+    ----------
+    body_bytes : int
+        Longest body.
+    idle_s : float
+        Seconds for which a caller may leave a connection idle.
+    """
+
+    body_bytes: int = 64 * 1024 * 1024
+    idle_s: float = 15.0
+
+
+class Service(NamedTuple):
+    """A group of endpoints that serve the same requests.
+
+    Attributes
+    ----------
+    name : str
+        Name of the service.
+    health_path : str
+        Path of the health check.
+    connections : int
+        Connections that each endpoint accepts from all instances together.
+    cold_s : float
+        Seconds for which an endpoint is cold after its start.
+    cold_per_s : float
+        Requests a second that a cold endpoint tolerates, from all instances together.
+    """
+
+    name: str
+    health_path: str
+    connections: int
+    cold_s: float
+    cold_per_s: float
+
+
+class Route(NamedTuple):
+    """Requests of one host below one path.
+
+    Attributes
+    ----------
+    name, host, prefix : str
+        Name of the route, host and beginning of the path.
+    idempotent : bool
+        Whether a request may run more than once.
+    timeout_s : float or None
+        Longest time that a caller is kept waiting.
+    target_s : float
+        Response time aimed at.
+    rank : int
+        0 is the most urgent.
+    attempts : int
+        Endpoints to which one request may be sent.
+    sticky : bool
+        Whether an endpoint that knows the object answers sooner.
+    regions : tuple of str
+        Regions that may serve it; empty for all.
+    split : tuple of (str, float)
+        Services with their weights.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    idempotent: bool
+    timeout_s: float | None
+    target_s: float
+    rank: int
+    attempts: int
+    sticky: bool
+    regions: tuple
+    split: tuple
+
+
+class Configuration(NamedTuple):
+    """One version of the configuration.
+
+    Attributes
+    ----------
+    version : int
+        Grows with each change.
+    hosts : dict of str to list of Route
+        Routes of each host, longest prefix first.
+    services : dict of str to Service
+        Services by name.
+    limits : Limits
+        Limits on callers.
+    """
+
+    version: int
+    hosts: dict
+    services: dict
+    limits: Limits
+
+
+class EndpointEntry(NamedTuple):
+    """What the registry says of one endpoint.
+
+    Attributes
+    ----------
+    name : str
+        Identity of this endpoint.
+    service : str
+        Service that it serves.
+    host : str
+        IP number.
+    port : int
+        TCP port.
+    domain : str
+        Failure domain.
+    slots : int
+        Requests that it runs at once.
+    leaving : bool
+        Whether it is about to stop.
+    cold_s : float
+        Seconds for which it remains cold.
+    born : int
+        Milliseconds since the epoch at its start; 0 if not said.
+    """
+
+    name: str
+    service: str
+    host: str
+    port: int
+    domain: str
+    slots: int
+    leaving: bool
+    cold_s: float
+    born: int
+
+
+def find_route(cfg, host, path):
+    """Return the route of a request.
+
+    Parameters
+    ----------
+    cfg : Configuration
+        The configuration in force.
+    host : str
+        Host asked for.
+    path : str
+        Path asked for.
+
+    Returns
+    -------
+    Route or None
+    """
+    for route in cfg.hosts.get(host, ()):
+        if path.startswith(route.prefix):
+            return route
+    return None
