--- a/quetzalwall/connection/endpoint_client.py
+++ b/quetzalwall/connection/endpoint_client.py
@@ -258,10 +258,10 @@
         parser = AnswerParser(self._exchange.method)
         answer, facts = self._receive(parser, fresh)
         unsent = self._sender is not None and not self._sender.ready()
-        if answer.reusable and not unsent and len(parser.answers) == 0:
-            if parser.clean() and not readable_now(self._sock):
-                self._client.give_back(self._sock, facts.keep_alive_s)
-                self._sock = None
+        more = bool(parser.answers) or not parser.clean() or readable_now(self._sock)
+        if answer.reusable and not unsent and not more:
+            self._client.give_back(self._sock, facts.keep_alive_s)
+            self._sock = None
         return answer, facts
 
     def close(self):
--- a/quetzalwall/process/limits/cold_pacing.py
+++ b/quetzalwall/process/limits/cold_pacing.py
@@ -1,4 +1,4 @@
-"""This instance's part of the rate at which cold endpoints get requests."""
+"""Part of one instance of the rate at which cold endpoints get requests."""
 
 import xxhash
 
--- a/quetzalwall/process/limits/retry_allowance.py
+++ b/quetzalwall/process/limits/retry_allowance.py
@@ -1,4 +1,4 @@
-"""This instance's part of the retries that all instances may send."""
+"""Part of one instance of the retries that all instances may send."""
 
 from quetzalwall.process.window import SlidingWindow
 
--- a/quetzalwall/request/choose.py
+++ b/quetzalwall/request/choose.py
@@ -145,7 +145,10 @@
                     slowness,
                     len(candidates),
                 )
-        if best.expected_s > left_s:
+        least_s = best.expected_s - best.slowness * (
+            work[best.known] - self._durations.least_work_s(route, best.known)
+        )
+        if least_s > left_s:
             return Refusal("too late", _retry_after_s(best.wait_s))
         if best.state.open() >= FULL_RATIO * best.state.entry.slots:
             return Refusal("full", _retry_after_s(best.wait_s))
--- a/quetzalwall/request/estimate.py
+++ b/quetzalwall/request/estimate.py
@@ -4,10 +4,11 @@
 
 __all__ = ["Durations", "create_durations"]
 
-WEIGHT = 0.03
+WEIGHT = 0.03  # of a new duration in the mean, once enough are known
 FAR_S = 0.07  # round trip to another region until one has been measured
 NEAR_S = 0.002
 MOST_RATIO = 3.0  # a longer answer counts as this much; few take many times as long
+LEAST_PART = 0.4  # of the mean duration; few requests take less
 KNOWN_PART = 0.5  # of a first guess, that an endpoint with the object takes
 
 
@@ -23,6 +24,7 @@
     def __init__(self, region):
         self._region = region
         self._work = {}
+        self._counts = {}
         self._hold = {}
         self._distance = {}
 
@@ -46,6 +48,23 @@
             return learned
         return route.target_s * (KNOWN_PART if known else 1.0)
 
+    def least_work_s(self, route, known):
+        """Return the least time that work is sure to take.
+
+        Parameters
+        ----------
+        route : Route
+            The route.
+        known : bool
+            Whether the endpoint is one of those that hold the object.
+
+        Returns
+        -------
+        float
+            Seconds; 0 while nothing is known of the route.
+        """
+        return LEAST_PART * self._work.get((route.name, known), 0.0)
+
     def hold_s(self, service):
         """Return how long a request of a service holds a slot.
 
@@ -105,9 +124,10 @@
             Without the way and the wait.
         """
         key = (route.name, known)
-        old = self._work.get(key, self.work_s(route, known))
+        old = self.work_s(route, known)
+        count = self._counts[key] = self._counts.get(key, 0) + 1
         seconds = min(seconds, MOST_RATIO * old)
-        self._work[key] = old + WEIGHT * (seconds - old)
+        self._work[key] = old + max(WEIGHT, 1 / (count + 1)) * (seconds - old)
         hold = self.hold_s(service)
         self._hold[service] = hold + WEIGHT * (seconds - hold)
 
