--- a/quetzalwall/process/knowledge/endpoint_state.py
+++ b/quetzalwall/process/knowledge/endpoint_state.py
@@ -1,6 +1,7 @@
 """What an instance knows of one endpoint."""
 
 import math
+from collections import OrderedDict
 
 from quetzalwall.connection.endpoint_client import create_endpoint_client
 
@@ -10,6 +11,7 @@
 AVOID_FIRST_S = 0.5
 AVOID_MOST_S = 4.0
 FAILURES_TO_AVOID = 2
+OBJECTS_KEPT = 24  # that an endpoint surely still holds after serving them last
 SHED_AVOID_S = 0.15  # a full endpoint frees a slot about as often
 
 
@@ -47,6 +49,7 @@
         self.lapsed_until = None
         self.wrong_address = False
         self.cold_until = now + entry.cold_s
+        self._objects = OrderedDict()
         self._slowness = 1.0
         self._slowness_at = -math.inf
         self._slowness_own = False
@@ -155,8 +158,33 @@
             return None
         return self._slowness, self._slowness_at
 
-    def note_success(self):
-        """Record a sound answer."""
+    def holds(self, object_key):
+        """Return whether it served an object for this instance not long ago.
+
+        Parameters
+        ----------
+        object_key : str
+            The object.
+
+        Returns
+        -------
+        bool
+        """
+        return object_key in self._objects
+
+    def note_success(self, object_key):
+        """Record a sound answer.
+
+        Parameters
+        ----------
+        object_key : str
+            Object that it concerned; empty if none was named.
+        """
+        if object_key:
+            self._objects[object_key] = True
+            self._objects.move_to_end(object_key)
+            if len(self._objects) > OBJECTS_KEPT:
+                self._objects.popitem(last=False)
         self._failures = 0
         self._avoid_s = AVOID_FIRST_S
 
--- a/quetzalwall/request/choose.py
+++ b/quetzalwall/request/choose.py
@@ -29,7 +29,9 @@
     rank : int
         Its rank for the object.
     known : bool
-        Whether it is one of those that hold the object.
+        Whether it is one of those that should hold the object.
+    held : bool
+        Whether it has served the object for this instance.
     expected_s : float
         Seconds until the answer.
     wait_s : float
@@ -43,6 +45,7 @@
     state: object
     rank: int
     known: bool
+    held: bool
     expected_s: float
     wait_s: float
     slowness: float
@@ -121,7 +124,8 @@
         best, best_key = None, None
         for state in candidates:
             rank = order.get(state.name, len(order))
-            known = route.sticky and rank < HOLDERS
+            held = route.sticky and state.holds(object_key)
+            known = held or (route.sticky and rank < HOLDERS)
             slowness = state.slowness(now)
             if state.cold(now):
                 slowness *= COLD_RATIO
@@ -140,6 +144,7 @@
                     state,
                     rank,
                     known,
+                    held,
                     expected_s,
                     queue_s,
                     slowness,
--- a/quetzalwall/request/serve.py
+++ b/quetzalwall/request/serve.py
@@ -262,11 +262,13 @@
         if facts.not_run:
             state.note_shed(now)
             raise NotRun(f"status {answer.status}", "endpoint", state.name)
-        state.note_success()
+        state.note_success(req.object_key)
         if choice.wait_s == 0 and not state.cold(now):
             way_s = self._durations.round_trip_s(state.region)
             seconds = max(0.001, now - began - way_s) / choice.slowness
-            self._durations.note_work(req.route, req.service, choice.known, seconds)
+            if choice.known == choice.held:
+                # Of an endpoint that should hold the object it is not known yet.
+                self._durations.note_work(req.route, req.service, choice.held, seconds)
         return Answer(answer.status, facts.headers, answer.body)
 
     def _failed(self, failure):
