Choose by what endpoints hold, with slot time and distance in one estimate

Now the estimate uses what instances tell one another of served objects, adds a part of the work as delay of those behind, and a little for another region; the rank only decides where an unheld object settles.

--- a/quetzalwall/request/choose.py
+++ b/quetzalwall/request/choose.py
@@ -10,7 +10,10 @@
 
 __all__ = ["Chooser", "Choice", "Refusal", "create_chooser"]
 
-HOLDERS = 3  # endpoints that are kept warm for one object
+HOLDERS = 3  # endpoints at which an object that none holds should settle
+SETTLE_S = 0.06  # by which the first of them seems nearer
+SLOT_PART = 0.3  # of its work, by which a request delays those behind it
+FAR_S = 0.03  # by which bytes between regions make an endpoint seem farther
 FREE_PART = 0.8
 COLD_RATIO = 2.0
 FULL_RATIO = 4.0  # requests there per slot from which on an endpoint refuses
@@ -28,10 +31,8 @@
         The endpoint.
     rank : int
         Its rank for the object.
-    known : bool
-        Whether it is one of those that should hold the object.
     held : bool
-        Whether it has served the object for this instance.
+        Whether it has served the object lately.
     expected_s : float
         Seconds until the answer.
     wait_s : float
@@ -44,7 +45,6 @@
 
     state: object
     rank: int
-    known: bool
     held: bool
     expected_s: float
     wait_s: float
@@ -90,6 +90,7 @@
         self._cold_pacing = cold_pacing
         self._fleet = fleet
         self._rng = rng
+        self._region = fleet.card.region
 
     def choose(self, cfg, route, service, object_key, left_s, now, tried=()):
         """Return the endpoint for a request, or why there is none.
@@ -102,8 +103,8 @@
             The request's route.
         service : str
             Service that takes it.
-        object_key : str
-            Object that it concerns.
+        object_key : int or None
+            Code of the object that it concerns.
         left_s : float
             Seconds until the deadline.
         now : float
@@ -118,14 +119,15 @@
         candidates = self._candidates(cfg, route, service, now, tried)
         if not candidates:
             return Refusal("no endpoint", LEAST_RETRY_S * 2)
-        order = self._endpoints.order(service, object_key) if object_key else {}
+        order = {}
+        if object_key is not None:
+            order = self._endpoints.order(service, object_key)
         hold_s = self._durations.hold_s(service)
-        work = {known: self._durations.work_s(route, known) for known in (True, False)}
+        work = {held: self._durations.work_s(route, held) for held in (True, False)}
         best, best_key = None, None
         for state in candidates:
-            rank = order.get(state.name, len(order))
-            held = route.sticky and state.holds(object_key)
-            known = held or (route.sticky and rank < HOLDERS)
+            rank = order.get(state.name, HOLDERS)
+            held = object_key is not None and state.holds(object_key)
             slowness = state.slowness(now)
             if state.cold(now):
                 slowness *= COLD_RATIO
@@ -135,15 +137,18 @@
             expected_s = (
                 self._durations.round_trip_s(state.region)
                 + queue_s
-                + work[known] * slowness
+                + work[held] * slowness
             )
             key = expected_s + self._rng.random() * SPREAD_S
+            key += SLOT_PART * work[held] * slowness
+            key -= SETTLE_S * max(0, HOLDERS - rank) / HOLDERS
+            if state.region != self._region:
+                key += FAR_S
             if best_key is None or key < best_key:
                 best_key = key
                 best = Choice(
                     state,
                     rank,
-                    known,
                     held,
                     expected_s,
                     queue_s,
@@ -151,7 +156,7 @@
                     len(candidates),
                 )
         least_s = best.expected_s - best.slowness * (
-            work[best.known] - self._durations.least_work_s(route, best.known)
+            work[best.held] - self._durations.least_work_s(route, best.held)
         )
         if least_s > left_s:
             return Refusal("too late", _retry_after_s(best.wait_s))
