--- a/quetzalwall/connection/front_server.py
+++ b/quetzalwall/connection/front_server.py
@@ -7,6 +7,7 @@
     QuietHandler,
     create_server,
 )
+from quetzalwall.logs import describe_failure, get_logger, log_event
 from quetzalwall.request.answers import status_line
 from quetzalwall.request.serve import CallerLeft
 
@@ -15,6 +16,7 @@
 MOST_CONNECTIONS = 3000
 SOCKET_KEY = "quetzalwall.socket"
 TARGET_KEY = "quetzalwall.target"
+LOG = get_logger("front-server")
 
 
 class FrontHandler(QuietHandler):
@@ -58,6 +60,9 @@
         except CallerLeft as exc:
             # The server then closes the connection without an answer.
             raise ConnectionResetError(errno.ECONNRESET, str(exc)) from exc
+        except Exception as exc:
+            log_event(LOG, "failed", "error", **describe_failure(exc))
+            return _send(start_response, 502, [], b"unexpected failure\n", True)
         return _send(
             start_response, answer.status, answer.headers, answer.body, stopping()
         )
--- a/quetzalwall/logs.py
+++ b/quetzalwall/logs.py
@@ -3,6 +3,7 @@
 import json
 import os
 import sys
+import traceback
 from collections import deque
 
 import gevent
@@ -10,6 +11,7 @@
 import logbook
 
 __all__ = [
+    "describe_failure",
     "format_fields",
     "get_logger",
     "log_event",
@@ -17,6 +19,7 @@
     "setup_logs",
 ]
 
+LOGGED_LINES = 5  # of a stack
 MOST_WAITING_LINES = 5000
 WRITE_DELAY_S = 0.05  # lines of one moment are written together
 PLAIN_CHARACTERS = frozenset(
@@ -132,6 +135,23 @@
     return handler
 
 
+def describe_failure(exc):
+    """Return what a line says of an exception that was not expected.
+
+    Parameters
+    ----------
+    exc : Exception
+        The exception.
+
+    Returns
+    -------
+    dict of str to str
+    """
+    lines = traceback.format_exception(exc)
+    text = "".join(lines).splitlines()[-LOGGED_LINES:]
+    return {"reason": repr(exc), "trace": " | ".join(line.strip() for line in text)}
+
+
 def log_event(logger, event, level="info", **fields):
     """Write one event as key=value pairs.
 
--- a/quetzalwall/process/tasks.py
+++ b/quetzalwall/process/tasks.py
@@ -1,15 +1,12 @@
 """Tasks that run for the life of the process."""
 
-import traceback
-
 import gevent
 
-from quetzalwall.logs import get_logger, log_event
+from quetzalwall.logs import describe_failure, get_logger, log_event
 
 __all__ = ["repeat"]
 
 LOG = get_logger("tasks")
-LOGGED_LINES = 3
 
 
 def repeat(step, pause_s):
@@ -34,13 +31,6 @@
         try:
             step()
         except Exception as exc:
-            trace = traceback.format_exc().splitlines()
-            log_event(
-                LOG,
-                "failed",
-                "error",
-                task=getattr(step, "__qualname__", str(step)),
-                reason=repr(exc),
-                trace=" | ".join(line.strip() for line in trace[-LOGGED_LINES:]),
-            )
+            name = getattr(step, "__qualname__", str(step))
+            log_event(LOG, "failed", "error", task=name, **describe_failure(exc))
         gevent.sleep(pause_s() if callable(pause_s) else pause_s)
