In a large fleet a few instances follow the store, and neighbours report more often

Now the first two of each region that reach the store read it; the others fetch changes from an instance that reports a later one; reports go up to ten times a second within the region and less often beyond.

--- a/quetzalwall/platform/store.py
+++ b/quetzalwall/platform/store.py
@@ -50,10 +50,13 @@
         The rows, or the changes in order.
     version : int
         Newest version of the store; the feed goes on from it.
+    lapsed : frozenset of str, default=frozenset()
+        Keys of removed rows that may come back, since the store was away.
     """
 
     rows: list
     version: int
+    lapsed: frozenset = frozenset()
 
 
 class StoreClient:
--- a/quetzalwall/process/front.py
+++ b/quetzalwall/process/front.py
@@ -3,6 +3,7 @@
 import os
 import random
 from typing import NamedTuple
+from urllib.parse import parse_qs
 
 import gevent
 import gevent.event
@@ -220,7 +221,8 @@
             self._store,
             table,
             on_rows,
-            lambda: self._ask_peer(table),
+            lambda after: self._ask_peer(table, after),
+            self.fleet,
             self._clock.monotonic,
         )
 
@@ -270,38 +272,43 @@
 
     def _export(self, environ, start_response):
         table = environ["PATH_INFO"].removeprefix("/tables/")
-        watch = self._watches.get(table)
+        text = parse_qs(environ["QUERY_STRING"]).get("after", ["0"])[0]
         exported = None
-        if watch is not None and not watch.lost:
-            exported = self.knowledge.export(table)
+        if table in self._watches and text.isdigit():
+            exported = self.knowledge.export(table, int(text))
         if exported is None:
             return json_answer(start_response, 404, {"error": "not known here"})
         return json_answer(start_response, 200, exported)
 
     def _metrics(self, environ, start_response):
+        cfg = self.knowledge.configuration()
         self.metrics.set_gauge("in_flight", self.in_flight)
         self.metrics.set_gauge("instances_live", len(self.fleet.live()))
         self.metrics.set_gauge("endpoints", len(self.endpoints))
-        self.metrics.set_gauge("config_version", self.fleet.config)
+        self.metrics.set_gauge("config_version", cfg.version if cfg else 0)
         raw = self.metrics.render()
         kind = "text/plain; version=0.0.4; charset=utf-8"
         headers = [("Content-Type", kind), ("Content-Length", str(len(raw)))]
         start_response("200 OK", headers)
         return [raw]
 
-    def _ask_peer(self, table):
-        """Return a table as another instance knows it, or None."""
+    def _ask_peer(self, table, after):
+        """Return what another instance knows of a table, or None.
+
+        Before any configuration is known, the seeds are asked as well.
+        """
         port = self.settings.listen.peers[1]
-        places = [(card.host, port) for card in self.fleet.live()[1:]]
-        places = places or list(self.settings.seeds)
-        own = (self.settings.address, port)
-        places = [place for place in places if place != own]
+        places = [(card.host, port) for card in self.fleet.ahead(table)]
+        if not places and not after:
+            own = (self.settings.address, port)
+            places = [place for place in self.settings.seeds if place != own]
+            self._rng.shuffle(places)
         if not places:
             return None
-        place = self._rng.choice(places)
+        place = places[0]
         client = create_json_client(*place, f"instance {place[0]}", PEER_TIMEOUT_S)
         try:
-            answer = client.call("GET", f"/tables/{table}")
+            answer = client.call("GET", f"/tables/{table}?after={after}")
             if answer.status != 200:
                 return None
             return read_exported(answer.body, place[0])
--- a/quetzalwall/process/knowledge/endpoint_state.py
+++ b/quetzalwall/process/knowledge/endpoint_state.py
@@ -12,6 +12,7 @@
 AVOID_MOST_S = 4.0
 FAILURES_TO_AVOID = 2
 OBJECTS_KEPT = 24  # that an endpoint surely still holds after serving them last
+COLD_MARGIN_S = 0.5  # the endpoint may count a little longer
 SHED_AVOID_S = 0.15  # a full endpoint frees a slot about as often
 
 
@@ -48,7 +49,8 @@
         self.present = True
         self.lapsed_until = None
         self.wrong_address = False
-        self.cold_until = now + entry.cold_s
+        self.cold_until = -math.inf
+        self.note_cold(entry.cold_s, now)
         self._objects = OrderedDict()
         self._slowness = 1.0
         self._slowness_at = -math.inf
@@ -85,6 +87,19 @@
         """
         return now < self._avoid_until
 
+    def note_cold(self, seconds, now):
+        """Record for how long it remains cold.
+
+        Parameters
+        ----------
+        seconds : float
+            0 if it is not cold.
+        now : float
+            Monotonic seconds.
+        """
+        if seconds > 0:
+            self.cold_until = max(self.cold_until, now + seconds + COLD_MARGIN_S)
+
     def cold(self, now):
         """Return whether it is cold.
 
--- a/quetzalwall/process/knowledge/endpoint_table.py
+++ b/quetzalwall/process/knowledge/endpoint_table.py
@@ -132,8 +132,7 @@
             return
         old, state.entry = state.entry, entry
         state.present, state.lapsed_until = True, None
-        if entry.cold_s > 0:
-            state.cold_until = max(state.cold_until, self._monotonic() + entry.cold_s)
+        state.note_cold(entry.cold_s, self._monotonic())
         if old.leaving != entry.leaving or old.service != entry.service:
             self._index()
             _log_change("leaving" if entry.leaving else "changed", entry)
@@ -188,8 +187,7 @@
         for state in self._states.values():
             if state.entry.domain in back:
                 # Without work they lose what made them fast.
-                until = now + cold_s(state.entry.service)
-                state.cold_until = max(state.cold_until, until)
+                state.note_cold(cold_s(state.entry.service), now)
         self._index()
 
     def close(self):
--- a/quetzalwall/process/knowledge/fleet.py
+++ b/quetzalwall/process/knowledge/fleet.py
@@ -5,6 +5,7 @@
 """
 
 import math
+from collections import deque
 from typing import NamedTuple
 
 import gevent
@@ -17,7 +18,10 @@
 __all__ = ["Fleet", "Peer", "PeerCard", "PeerReport", "create_fleet"]
 
 PERIOD_S = 0.1
-MOST_DATAGRAMS_PER_S = 60.0  # of one instance; a large fleet reports less often
+NEAR_PER_S = 60.0  # datagrams of one instance to its region; more peers hear less often
+FAR_PER_S = 40.0  # and to the other regions
+READERS = 2  # instances of a region that follow the store for the others
+ALL_READ = 8  # instances up to which each follows the store itself
 SILENT_AFTER_S = 1.5
 SILENT_PERIODS = 6
 FORGET_AFTER_S = 30.0
@@ -57,8 +61,10 @@
         Grows with each datagram of this process.
     leaving : bool
         Whether it is about to stop.
-    config : int
-        Version of its configuration; 0 if it has none.
+    reaches_store : bool
+        Whether the store answers it.
+    tables : dict of str to int
+        Version of the last change that it knows of each table.
     open : list of (int, int)
         Code of an endpoint, and requests of the sender open there.
     slow : list of (int, int, int)
@@ -72,7 +78,8 @@
     process: int
     sequence: int
     leaving: bool
-    config: int
+    reaches_store: bool
+    tables: dict[str, int]
     open: list[tuple[int, int]]
     slow: list[tuple[int, int, int]]
     held: list[tuple[int, int]]
@@ -97,6 +104,8 @@
         self.former_process = None
         self.sequence = -1
         self.leaving = False
+        self.reaches_store = False
+        self.tables = {}
         self.heard = -math.inf
         self.open = {}
         self.called = -math.inf
@@ -123,14 +132,14 @@
     def __init__(self, card, port, endpoints, monotonic, process):
         self.card = card
         self.leaving = False
-        self.config = 0
+        self.reaches_store = True
+        self.tables = {}
         self._port = port
         self._endpoints = endpoints
         self._monotonic = monotonic
         self._process = process
         self._sequence = 0
-        self._slow_since = -math.inf
-        self._held = []
+        self._audiences = (_Audience(near=True), _Audience(near=False))
         self._peers = {}
         self._tasks = []
         self._sock = None
@@ -158,8 +167,8 @@
         object_key : int
             Code of the object.
         """
-        if len(self._held) < MOST_HELD:
-            self._held.append((endpoint_code(endpoint), object_key))
+        for audience in self._audiences:
+            audience.held.append((endpoint_code(endpoint), object_key))
 
     def introduce(self, card):
         """Take over an instance that the store names; it may run or not.
@@ -238,6 +247,8 @@
         if report.leaving and not peer.leaving:
             log_event(LOG, "leaving", peer=name)
         peer.leaving = report.leaving
+        peer.reaches_store = report.reaches_store
+        peer.tables = report.tables
         peer.heard, peer.silent = now, False
         self._set_open(peer, dict(report.open))
         for code, hundredths, age_ms in report.slow:
@@ -249,14 +260,46 @@
             if state is not None:
                 state.note_held(object_key)
 
-    def period_s(self):
-        """Return the seconds between two reports of an instance.
+    def follows_store(self):
+        """Return whether this instance follows the store for itself and others.
 
         Returns
         -------
-        float
+        bool
+            In a large fleet the first few of each region that reach the store do.
         """
-        return max(PERIOD_S, len(self._peers) / MOST_DATAGRAMS_PER_S)
+        if len(self._peers) < ALL_READ or not self.reaches_store:
+            return True
+        own = endpoint_code(self.card.name)
+        before = sum(
+            endpoint_code(peer.card.name) < own
+            for peer in self._peers.values()
+            if peer.card.region == self.card.region
+            and not (peer.silent or peer.leaving)
+            and peer.reaches_store
+        )
+        return before < READERS
+
+    def ahead(self, table):
+        """Return the instances that know a later change of a table.
+
+        Parameters
+        ----------
+        table : str
+            Name of the table.
+
+        Returns
+        -------
+        list of PeerCard
+            Those of the own region first.
+        """
+        own = self.tables.get(table, 0)
+        cards = [
+            peer.card
+            for peer in self._peers.values()
+            if not peer.silent and peer.tables.get(table, 0) > own
+        ]
+        return sorted(cards, key=lambda card: card.region != self.card.region)
 
     def expire(self, now):
         """Find out which instances have fallen silent.
@@ -266,8 +309,14 @@
         now : float
             Monotonic seconds.
         """
-        limit_s = max(SILENT_AFTER_S, SILENT_PERIODS * self.period_s())
+        limits_s = {
+            audience.near: max(
+                SILENT_AFTER_S, SILENT_PERIODS * self._period_s(audience)
+            )
+            for audience in self._audiences
+        }
         for peer in self._peers.values():
+            limit_s = limits_s[peer.card.region == self.card.region]
             if not peer.silent and now - peer.heard > limit_s:
                 peer.silent = True
                 self._set_open(peer, {})
@@ -306,13 +355,22 @@
         while True:
             now = self._monotonic()
             self.expire(now)
-            raw = ENCODER.encode(self._own_report(now))
-            for peer in list(self._peers.values()):
-                if peer.silent and now - peer.called < CALL_EVERY_S:
-                    continue
-                peer.called = now
-                self._send(raw, peer.card.host)
-            gevent.sleep(self.period_s())
+            for audience in self._audiences:
+                if now - audience.told > self._period_s(audience) - PERIOD_S / 2:
+                    self._tell(audience, now)
+            gevent.sleep(PERIOD_S)
+
+    def _tell(self, audience, now):
+        raw = ENCODER.encode(self._own_report(audience, now))
+        audience.told = now
+        audience.held.clear()
+        for peer in list(self._peers.values()):
+            if (peer.card.region == self.card.region) != audience.near:
+                continue
+            if peer.silent and now - peer.called < CALL_EVERY_S:
+                continue
+            peer.called = now
+            self._send(raw, peer.card.host)
 
     def _send(self, raw, host):
         try:
@@ -320,16 +378,14 @@
         except OSError as exc:
             log_event(LOG, "not-sent", "warning", peer=host, reason=str(exc))
 
-    def _own_report(self, now):
+    def _own_report(self, audience, now):
         self._sequence += 1
-        since, self._slow_since = self._slow_since, now
         opened, slow = [], []
-        held, self._held = self._held, []
         for state in self._endpoints:
             code = endpoint_code(state.name)
             if state.own_open:
                 opened.append((code, state.own_open))
-            seen = state.own_slowness_since(since)
+            seen = state.own_slowness_since(audience.told)
             if seen is not None:
                 slow.append((code, int(seen[0] * 100), int((now - seen[1]) * 1000)))
         return PeerReport(
@@ -337,12 +393,30 @@
             self._process,
             self._sequence,
             self.leaving,
-            self.config,
+            self.reaches_store,
+            self.tables,
             opened,
             slow,
-            held,
+            list(audience.held),
         )
 
+    def _period_s(self, audience):
+        peers = sum(
+            (peer.card.region == self.card.region) == audience.near
+            for peer in self._peers.values()
+        )
+        rate = NEAR_PER_S if audience.near else FAR_PER_S
+        return max(PERIOD_S, peers / rate)
+
+
+class _Audience:
+    """The peers of the own region, or all others, and what they were told last."""
+
+    def __init__(self, near):
+        self.near = near
+        self.told = -math.inf
+        self.held = deque(maxlen=MOST_HELD)
+
 
 def _is_newer(report, peer):
     """Return whether a report is no late one; wall clocks may step, so none is used."""
--- a/quetzalwall/process/knowledge/knowledge.py
+++ b/quetzalwall/process/knowledge/knowledge.py
@@ -42,6 +42,7 @@
         self.on_configuration = None
         self._cfg = None
         self._rows = {OPERATOR_TABLE: {}, ENDPOINTS_TABLE: {}}
+        self._removed = {OPERATOR_TABLE: {}, ENDPOINTS_TABLE: {}}
         self._versions = {}
 
     def configuration(self):
@@ -87,24 +88,28 @@
                 for key in self._rows[table]
                 if key not in listed
             ]
+        lapsed = {c.key for c in changes if c.value is None and away} | rows.lapsed
         for change in changes:
-            if change.value is None:
-                self._rows[table].pop(change.key, None)
-            else:
-                self._rows[table][change.key] = change.value
+            self._keep(table, change, change.key in lapsed)
         self._versions[table] = rows.version
+        if changes:
+            newest = max(change.version for change in changes)
+            known = self.fleet.tables.get(table, 0)
+            self.fleet.tables[table] = max(known, newest)
         if table == OPERATOR_TABLE:
             self._apply_operator(changes)
         else:
-            self._apply_endpoints(changes, away)
+            self._apply_endpoints(changes, lapsed)
 
-    def export(self, table):
-        """Return a table as another instance may take it over.
+    def export(self, table, after=0):
+        """Return a table, or what has changed, as another instance may take it over.
 
         Parameters
         ----------
         table : str
             Name of the table.
+        after : int, default=0
+            Version up to which the other instance knows the table; 0 for all of it.
 
         Returns
         -------
@@ -114,10 +119,30 @@
         if table not in self._versions:
             return None
         rows = {
-            key: base64.b64encode(value).decode()
-            for key, value in self._rows[table].items()
+            key: [base64.b64encode(change.value).decode(), change.version]
+            for key, change in self._rows[table].items()
+            if change.version > after
+        }
+        removed = {
+            key: [version, lapsed]
+            for key, (version, lapsed) in self._removed[table].items()
+            if version > after > 0
+        }
+        return {
+            "version": self._versions[table],
+            "whole": after == 0,
+            "rows": rows,
+            "removed": removed,
         }
-        return {"version": self._versions[table], "rows": rows}
+
+    def _keep(self, table, change, lapsed):
+        removed = self._removed[table]
+        if change.value is not None:
+            self._rows[table][change.key] = change
+            removed.pop(change.key, None)
+            return
+        self._rows[table].pop(change.key, None)
+        removed[change.key] = (change.version, lapsed)
 
     def _apply_operator(self, changes):
         for change in changes:
@@ -143,7 +168,6 @@
                 log_event(LOG, "older", "warning", version=cfg.version, known=known)
             return
         self._cfg = cfg
-        self.fleet.config = cfg.version
         log_event(
             LOG,
             "in-force",
@@ -160,10 +184,10 @@
         spec = self._cfg.services.get(service) if self._cfg else None
         return spec.cold_s if spec else 0.0
 
-    def _apply_endpoints(self, changes, away):
+    def _apply_endpoints(self, changes, lapsed):
         for change in changes:
             if change.value is None:
-                self.endpoints.remove(change.key, away)
+                self.endpoints.remove(change.key, change.key in lapsed)
                 continue
             try:
                 entry = decode_endpoint(change.key, change.value)
@@ -192,7 +216,8 @@
 
     Returns
     -------
-    Rows
+    (Rows, bool)
+        The rows, and whether they are all rows of the table.
 
     Raises
     ------
@@ -200,14 +225,19 @@
         They can't be read.
     """
     try:
-        version = int(body["version"])
         rows = [
-            RowChange(key, base64.b64decode(value, validate=True), version)
-            for key, value in body["rows"].items()
+            RowChange(key, base64.b64decode(value, validate=True), int(version))
+            for key, (value, version) in body["rows"].items()
+        ]
+        rows += [
+            RowChange(key, None, int(version))
+            for key, (version, _) in body["removed"].items()
         ]
+        lapsed = frozenset(key for key, (_, gone) in body["removed"].items() if gone)
+        rows.sort(key=lambda change: change.version)
+        return Rows(rows, int(body["version"]), lapsed), bool(body["whole"])
     except (KeyError, TypeError, ValueError, AttributeError) as exc:
         raise PeerError(f"bad rows: {exc!r}", step="read rows", peer=peer) from exc
-    return Rows(rows, version)
 
 
 def create_knowledge(endpoints, fleet):
--- a/quetzalwall/process/knowledge/store_watch.py
+++ b/quetzalwall/process/knowledge/store_watch.py
@@ -9,6 +9,7 @@
 __all__ = ["TableWatch", "create_table_watch"]
 
 FEED_WAIT_S = 1.5  # a silent connection is noticed within this and the call's limit
+PEER_PAUSE_S = 0.1  # between two looks at what peers know
 PAUSE_S = 0.25  # between two calls, so that one call brings several changes
 RETRY_FIRST_S = 0.2
 RETRY_MOST_S = 1.0
@@ -29,7 +30,10 @@
         Called with `Rows`, whether they are all rows of the table, and whether the
         store was away before.
     ask_peer : callable
-        Returns all rows as another instance knows them, or None.
+        From the version up to which the table is known to the changes that another
+        instance knows, and whether they are all rows; None if it knows no more.
+    fleet : Fleet
+        Tells whether this instance follows the store, and whether others know more.
     monotonic : callable
         Clock in seconds.
 
@@ -43,7 +47,7 @@
         Whether the last call failed.
     """
 
-    def __init__(self, store, table, on_rows, ask_peer, monotonic):
+    def __init__(self, store, table, on_rows, ask_peer, fleet, monotonic):
         self.loaded = False
         self.lost = False
         self.contact = monotonic()
@@ -51,6 +55,7 @@
         self._table = table
         self._on_rows = on_rows
         self._ask_peer = ask_peer
+        self._fleet = fleet
         self._monotonic = monotonic
         self._version = None
         self._pause_s = RETRY_FIRST_S
@@ -77,6 +82,10 @@
     def _run(self):
         while True:
             try:
+                if self.loaded and not self._fleet.follows_store():
+                    self._follow_peers()
+                    gevent.sleep(PEER_PAUSE_S)
+                    continue
                 self._step()
                 gevent.sleep(PAUSE_S)
             except HistoryGone:
@@ -100,12 +109,22 @@
         self._on_rows(rows, whole, away)
         self.loaded = True
 
+    def _follow_peers(self):
+        self.lost = False
+        self.contact = self._monotonic()
+        if self._fleet.ahead(self._table):
+            self._take_from_peer()
+
     def _take_from_peer(self):
-        rows = self._ask_peer()
-        if rows is None or rows.version <= (self._version or 0):
+        known = self._fleet.tables.get(self._table, 0)
+        found = self._ask_peer(known if self.loaded else 0)
+        if found is None:
+            return
+        rows, whole = found
+        if rows.version <= (self._version or 0):
             return
         self._version = rows.version
-        self._on_rows(rows, True, False)
+        self._on_rows(rows, whole, False)
         self.loaded = True
         log_event(LOG, "from-peer", table=self._table, version=rows.version)
 
@@ -114,6 +133,7 @@
         if self.lost:
             log_event(LOG, "regained", table=self._table, away_s=now - self.contact)
         self.lost = False
+        self._fleet.reaches_store = True
         self.contact = now
         self._pause_s = RETRY_FIRST_S
 
@@ -129,9 +149,10 @@
                 version=self._version,
             )
         self.lost = True
+        self._fleet.reaches_store = False
 
 
-def create_table_watch(store, table, on_rows, ask_peer, monotonic):
+def create_table_watch(store, table, on_rows, ask_peer, fleet, monotonic):
     """Return a watch that is not yet started.
 
     Parameters
@@ -144,7 +165,10 @@
         Called with `Rows`, whether they are all rows, and whether the store was away
         before.
     ask_peer : callable
-        Returns all rows as another instance knows them, or None.
+        From the version up to which the table is known to the changes that another
+        instance knows, and whether they are all rows; None if it knows no more.
+    fleet : Fleet
+        Tells whether this instance follows the store, and whether others know more.
     monotonic : callable
         Clock in seconds.
 
@@ -152,4 +176,4 @@
     -------
     TableWatch
     """
-    return TableWatch(store, table, on_rows, ask_peer, monotonic)
+    return TableWatch(store, table, on_rows, ask_peer, fleet, monotonic)
--- a/quetzalwall/process/limits/cold_pacing.py
+++ b/quetzalwall/process/limits/cold_pacing.py
@@ -35,7 +35,8 @@
     if whole >= len(instances):
         return whole // max(1, len(instances))
     order = sorted(
-        instances, key=lambda name: xxhash.xxh64_intdigest(f"{endpoint}/{name}".encode())
+        instances,
+        key=lambda name: xxhash.xxh64_intdigest(f"{endpoint}/{name}".encode()),
     )
     return 1 if instance in order[:whole] else 0
 
--- a/quetzalwall/request/choose.py
+++ b/quetzalwall/request/choose.py
@@ -13,6 +13,7 @@
 HOLDERS = 3  # endpoints at which an object that none holds should settle
 SETTLE_S = 0.06  # by which the first of them seems nearer
 SLOT_PART = 0.3  # of its work, by which a request delays those behind it
+CONNECT_S = 0.015  # by which a new connection makes an endpoint seem farther
 FAR_S = 0.03  # by which bytes between regions make an endpoint seem farther
 FREE_PART = 0.8
 COLD_RATIO = 2.0
@@ -144,6 +145,8 @@
             key -= SETTLE_S * max(0, HOLDERS - rank) / HOLDERS
             if state.region != self._region:
                 key += FAR_S
+            if not state.client.idle_count():
+                key += CONNECT_S
             if best_key is None or key < best_key:
                 best_key = key
                 best = Choice(
