--- a/quetzalwall/process/front.py
+++ b/quetzalwall/process/front.py
@@ -38,6 +38,7 @@
 from quetzalwall.process.tasks import repeat
 from quetzalwall.request.choose import create_chooser
 from quetzalwall.request.estimate import create_durations
+from quetzalwall.request.lookup import draw_by_link
 from quetzalwall.request.serve import create_request_server
 
 __all__ = ["Front", "create_front", "run_front"]
@@ -45,6 +46,7 @@
 TICK_S = 0.5
 SETTINGS_PERIOD_S = 1.0
 LOOKUP_TTL_S = 2.0
+LOOKUP_ANSWERS = 3  # instances named; a caller needs another when one fails
 STORE_TIMEOUT_S = 1.2
 PEER_TIMEOUT_S = 0.8
 REGISTER_RETRY_S = 1.0
@@ -92,7 +94,11 @@
         self._stopped = gevent.event.Event()
         now = clock.monotonic
         card = PeerCard(
-            settings.instance, settings.region, settings.domain, settings.address
+            settings.instance,
+            settings.region,
+            settings.domain,
+            settings.address,
+            settings.link_mbps,
         )
         self.endpoints = create_endpoint_table(settings.domains, answer_facts, now)
         self.fleet = create_fleet(
@@ -268,7 +274,8 @@
 
     def _instances_for(self, region):
         live = self.fleet.live()
-        return [card for card in live if card.region == region] or live
+        near = [card for card in live if card.region == region] or live
+        return draw_by_link(near, LOOKUP_ANSWERS, self._rng)
 
     def _export(self, environ, start_response):
         table = environ["PATH_INFO"].removeprefix("/tables/")
--- a/quetzalwall/process/knowledge/endpoint_state.py
+++ b/quetzalwall/process/knowledge/endpoint_state.py
@@ -187,6 +187,15 @@
         """
         return object_key in self._objects
 
+    def untried(self):
+        """Return whether it has served no object yet, as far as is known.
+
+        Returns
+        -------
+        bool
+        """
+        return not self._objects
+
     def note_held(self, object_key):
         """Record that it has served an object.
 
--- a/quetzalwall/process/knowledge/fleet.py
+++ b/quetzalwall/process/knowledge/fleet.py
@@ -40,12 +40,15 @@
         Name, region and failure domain.
     host : str
         IP number.
+    link_mbps : float
+        Rate of its link in Mbit/s.
     """
 
     name: str
     region: str
     domain: str
     host: str
+    link_mbps: float = 1000.0
 
 
 class PeerReport(NamedTuple):
--- a/quetzalwall/process/limits/cold_pacing.py
+++ b/quetzalwall/process/limits/cold_pacing.py
@@ -41,6 +41,10 @@
     return 1 if instance in order[:whole] else 0
 
 
+def _weight(endpoint, name):
+    return xxhash.xxh64_intdigest(f"{endpoint}/{name}".encode())
+
+
 class ColdPacing:
     """Requests to cold endpoints in the last second.
 
--- /dev/null
+++ b/quetzalwall/process/limits/tests/test_limits.py
@@ -0,0 +1,74 @@
+import random
+
+from nose2.tools import params
+
+from quetzalwall.platform.settings import Bounds
+from quetzalwall.process.limits.cold_pacing import cold_share, create_cold_pacing
+from quetzalwall.process.limits.retry_allowance import create_retry_allowance
+from quetzalwall.process.limits.weighted_split import create_weighted_split
+from quetzalwall.version.model import Route
+
+BOUNDS = Bounds()
+
+
+def route(split):
+    return Route("r", "h", "/", True, None, 1.0, 1, 2, False, (), split)
+
+
+@params(1, 2, 7, 8, 26, 36, 300)
+def test_shares_of_a_cold_endpoint_never_exceed_its_limit(instances):
+    names = [f"front-{n}" for n in range(instances)]
+    for endpoint in ("ep-1", "ep-2", "ep-3"):
+        for limit in (6.0, 8.0, 12.35):
+            shares = [cold_share(limit, name, endpoint, names) for name in names]
+            assert 0 < sum(shares) <= limit
+
+
+def test_a_cold_endpoint_gets_no_more_than_its_rate_in_any_second():
+    names = [f"front-{n}" for n in range(7)]
+    pacings = [create_cold_pacing(name, BOUNDS) for name in names]
+    rng = random.Random(1)
+    sent = []
+    for step in range(3000):
+        now = step / 100
+        for pacing in pacings:
+            if rng.random() < 0.3 and pacing.allows("ep", 4.9, names, now):
+                pacing.note("ep", now)
+                sent.append(now)
+    limit = 4.9 * BOUNDS.cold_overage + BOUNDS.cold_slack
+    most = max(sum(1 for t in sent if at <= t < at + 1.0) for at in sent)
+    assert 0 < most <= limit
+
+
+def test_retries_of_all_instances_stay_within_the_budget():
+    instances, per_s = 7, 100.0
+    allowances = [create_retry_allowance(BOUNDS) for _ in range(instances)]
+    retries = requests = 0
+    for step in range(1000):
+        now = step / 100
+        allowance = allowances[step % instances]
+        allowance.note_request("desk", now)
+        requests += 1
+        while allowance.take("desk", now, instances):
+            retries += 1
+    assert requests == per_s * 10
+    assert retries <= BOUNDS.retry_ratio * requests + BOUNDS.retry_slack
+    assert retries > 0
+
+
+@params(((("a", 90.0), ("b", 10.0)),), ((("a", 1.0), ("b", 1.0), ("c", 2.0)),))
+def test_a_split_follows_its_weights(split):
+    chooser = create_weighted_split(random.Random(3))
+    counts = dict.fromkeys([name for name, _ in split], 0)
+    for _ in range(300):
+        counts[chooser.next_service(route(split))] += 1
+    total = sum(weight for _, weight in split)
+    for name, weight in split:
+        assert abs(counts[name] / 300 - weight / total) < 0.01
+
+
+def test_a_split_of_weight_zero_gets_nothing():
+    split = (("a", 1.0), ("b", 0.0))
+    for seed in range(20):
+        chooser = create_weighted_split(random.Random(seed))
+        assert {chooser.next_service(route(split)) for _ in range(50)} == {"a"}
--- a/quetzalwall/process/limits/weighted_split.py
+++ b/quetzalwall/process/limits/weighted_split.py
@@ -28,14 +28,15 @@
         -------
         str
         """
-        if len(route.split) == 1:
-            return route.split[0][0]
-        total = sum(weight for _, weight in route.split)
+        parts = [part for part in route.split if part[1] > 0] or route.split
+        if len(parts) == 1:
+            return parts[0][0]
+        total = sum(weight for _, weight in parts)
         credits = self._credits.get((route.name, route.split))
         if credits is None:
-            credits = {name: self._rng.random() * total for name, _ in route.split}
+            credits = {name: self._rng.random() * total for name, _ in parts}
             self._credits[route.name, route.split] = credits
-        for name, weight in route.split:
+        for name, weight in parts:
             credits[name] += weight
         chosen = max(credits, key=credits.get)
         credits[chosen] -= total
--- /dev/null
+++ b/quetzalwall/process/tests/test_front.py
@@ -0,0 +1,270 @@
+import socket
+import time
+from contextlib import ExitStack
+
+import gevent
+import msgspec
+from nose2.tools import params
+
+from quetzalwall.connection.http_server import create_server
+from quetzalwall.tests.platform_fixtures import (
+    HOST,
+    call,
+    config_body,
+    entry_body,
+    route_row,
+    running_site,
+    start_front,
+    wait_for,
+)
+
+DEADLINE = "X_Quetzalwall_Deadline_Ms"
+
+
+def look_up(front, ports, region="north"):
+    address = front.settings.address
+    status, _, body = call(address, ports[3], f"/resolve?name={HOST}&region={region}")
+    return status, msgspec.json.decode(body)
+
+
+def test_a_request_passes_and_its_answer_comes_back_unchanged():
+    with running_site() as site:
+        status, headers, body = site.get("/look/1?a=%20b")
+        assert status == 200
+        request_id = site.endpoints[0].arrivals + site.endpoints[1].arrivals
+        sent_id, sent = request_id[0]
+        assert headers["X-Quetzalwall-Server-Stamp"] == f"stamp-of-{sent_id}"
+        assert headers["X-Quetzalwall-Request-Id"] == sent_id
+        assert body.split()[1].decode() == sent_id
+        assert 0 < int(sent["x-quetzalwall-deadline-ms"]) <= 2000
+        assert sent["host"] == HOST
+
+
+def test_what_is_left_of_the_deadline_is_passed_on():
+    with running_site(endpoints=1) as site:
+        site.get("/look/1", **{DEADLINE: "700"})
+        left_ms = int(site.endpoints[0].arrivals[0][1]["x-quetzalwall-deadline-ms"])
+        assert 500 < left_ms <= 700
+
+
+def test_no_route_is_told_from_no_configuration():
+    with running_site() as site:
+        assert site.get("/none/1")[0] == 404
+        site.fronts[0].knowledge._cfg = None
+        status, headers, _ = site.get("/look/1")
+        assert status == 503 and 0 < float(headers["Retry-After"]) <= 1
+
+
+def test_a_new_configuration_is_in_force_soon_and_an_old_one_never_again():
+    with running_site(fronts=2) as site:
+        rows = [route_row("new", "/new/")]
+        site.write_config(config_body(2, rows))
+        began = time.monotonic()
+        wait_for(lambda: all(site.get("/new/1", n)[0] == 200 for n in (0, 1)))
+        assert time.monotonic() - began < 2.5
+        site.write_config(config_body(1))
+        gevent.sleep(0.6)
+        assert site.get("/new/1")[0] == 200
+        assert site.get("/look/1")[0] == 404
+
+
+def test_a_leaving_endpoint_gets_no_new_work():
+    with running_site() as site:
+        site.register(site.endpoints[0], state="draining")
+        front = site.fronts[0]
+        wait_for(lambda: len(front.endpoints.of_service("desk")) == 1)
+        before = len(site.endpoints[0].arrivals)
+        for _ in range(20):
+            assert site.get("/look/1")[0] == 200
+        assert len(site.endpoints[0].arrivals) == before
+
+
+@params("lose", "cut", "hang")
+def test_a_request_that_is_not_idempotent_runs_once_whatever_happens(fault):
+    with running_site() as site:
+        for endpoint in site.endpoints:
+            endpoint.behaviour[fault] = True
+        for _ in range(6):
+            status, _, _ = site.get("/book/1", method="POST", **{DEADLINE: "300"})
+            assert status in (502, 504)
+        for endpoint in site.endpoints:
+            assert all(count == 1 for count in endpoint.runs.values())
+        assert sum(len(endpoint.runs) for endpoint in site.endpoints) == 6
+
+
+def test_an_idempotent_request_is_sent_to_another_endpoint_after_a_lost_answer():
+    with running_site() as site:
+        site.endpoints[0].behaviour["lose"] = True
+        for _ in range(6):
+            assert site.get("/look/1")[0] == 200
+
+
+def test_not_run_is_said_only_when_it_is_true():
+    with running_site() as site:
+        for endpoint in site.endpoints:
+            endpoint.behaviour["shed"] = True
+        status, headers, _ = site.get("/book/1", method="POST")
+        assert status == 503
+        assert float(headers["Retry-After"]) > 0
+        assert "X-Quetzalwall-Server-Stamp" not in headers
+        assert not any(endpoint.runs for endpoint in site.endpoints)
+
+
+def test_a_request_for_another_endpoint_at_a_reused_address_goes_elsewhere():
+    with running_site() as site:
+        site.endpoints[0].behaviour["other"] = "ep-9"
+        for _ in range(8):
+            assert site.get("/book/1", method="POST")[0] == 200
+        assert not site.endpoints[0].runs
+        assert len(site.endpoints[0].arrivals) <= 1
+
+
+def test_a_caller_that_leaves_stops_the_work():
+    with running_site(endpoints=1) as site:
+        endpoint = site.endpoints[0]
+        endpoint.behaviour["slow_s"] = 1.5
+        sock = socket.create_connection(
+            (site.fronts[0].settings.address, site.ports[0])
+        )
+        head = f"GET /look/1 HTTP/1.1\r\nHost: {HOST}\r\n"
+        sock.sendall(f"{head}X-Quetzalwall-Request-Id: left\r\n\r\n".encode())
+        wait_for(lambda: endpoint.runs.get("left"))
+        sock.close()
+        wait_for(lambda: endpoint.cancelled == 1, 0.5)
+
+
+def test_the_routes_time_ends_the_wait():
+    with running_site() as site:
+        for endpoint in site.endpoints:
+            endpoint.behaviour["hang"] = True
+        rows = [route_row("look", "/look/", timeout="400ms")]
+        site.write_config(config_body(2, rows))
+        front = site.fronts[0]
+        wait_for(lambda: front.knowledge.configuration().version == 2)
+        began = time.monotonic()
+        status, _, _ = site.get("/look/1", **{DEADLINE: "5000"})
+        assert status == 504
+        assert time.monotonic() - began < 0.9
+
+
+def test_a_planned_stop_cuts_nothing_and_refuses_late_requests():
+    with running_site(fronts=2) as site:
+        first, second = site.fronts
+        for endpoint in site.endpoints:
+            endpoint.behaviour["slow_s"] = 0.6
+        running = [gevent.spawn(site.get, "/book/1", 0, "POST") for _ in range(4)]
+        gevent.sleep(0.1)
+        stop = gevent.spawn(first.stop)
+        gevent.sleep(0.1)
+        address = first.settings.address
+        assert call(address, site.ports[1], "/ready")[0] == 503
+        wait_for(lambda: len(second.fleet.live()) == 1)
+        _, body = look_up(second, site.ports)
+        assert body["addresses"] == [f"{second.settings.address}:{site.ports[0]}"]
+        gevent.joinall(running)
+        assert [job.value[0] for job in running] == [200] * 4
+        wait_for(lambda: first._left_s() == 0.0)
+        status, headers, _ = site.get("/book/1", method="POST")
+        assert status == 503 and headers["Connection"] == "close"
+        stop.join()
+
+
+def test_a_silent_instance_leaves_the_look_ups():
+    with running_site(fronts=2) as site:
+        assert len(look_up(site.fronts[0], site.ports)[1]["addresses"]) == 2
+        site.fronts[1].fleet.close()
+        wait_for(lambda: len(look_up(site.fronts[0], site.ports)[1]["addresses"]) == 1)
+
+
+def test_look_ups_prefer_the_callers_region():
+    with running_site(fronts=3) as site:
+        south = f"{site.fronts[2].settings.address}:{site.ports[0]}"
+        status, body = look_up(site.fronts[0], site.ports, "south")
+        assert (status, body["addresses"]) == (200, [south])
+        assert len(look_up(site.fronts[0], site.ports, "east")[1]["addresses"]) == 3
+
+
+def test_an_instance_starts_from_a_peer_while_the_store_is_down():
+    with ExitStack() as stack, running_site() as site:
+        site.store.set_faults(down=True)
+        seed = f"{site.fronts[0].settings.address}:{site.ports[2]}"
+        front = start_front(stack, site, 1, seeds=[seed])
+        wait_for(front.knowledge.ready)
+        address = front.settings.address
+        assert call(address, site.ports[0], "/look/1")[0] == 200
+
+
+def test_service_goes_on_while_the_store_is_down_and_history_is_lost():
+    with running_site() as site:
+        site.store.set_faults(down=True)
+        for _ in range(5):
+            assert site.get("/look/1")[0] == 200
+        site.store.set_faults(down=False, forget=True)
+        site.write_config(config_body(3, [route_row("new", "/new/")]))
+        wait_for(lambda: site.get("/new/1")[0] == 200)
+
+
+def test_a_lost_reply_to_the_registration_is_made_good():
+    with ExitStack() as stack, running_site() as site:
+        site.store.set_faults(lose_replies=1, late_s=0.1)
+        start_front(stack, site, 1)
+        wait_for(lambda: ("instances", "", "front-1") in site.store.rows)
+
+
+def test_settings_that_change_silently_are_read_again():
+    with running_site() as site:
+        front = site.fronts[0]
+        file = front._settings_file
+        with open(file, encoding="utf-8") as stream:
+            body = msgspec.json.decode(stream.read())
+        body["bounds"]["grace"] = "9s"
+        with open(file, "w", encoding="utf-8") as stream:
+            stream.write(msgspec.json.encode(body).decode())
+        wait_for(lambda: front.settings.bounds.grace_s == 9.0)
+        with open(file, "w", encoding="utf-8") as stream:
+            stream.write("{")
+        front.reload()
+        assert front.settings.bounds.grace_s == 9.0
+
+
+def test_metrics_count_what_happened():
+    with running_site() as site:
+        site.get("/look/1")
+        address = site.fronts[0].settings.address
+        _, _, body = call(address, site.ports[4], "/metrics")
+        assert b'outcome="answered",route="look",status="200"' in body
+        assert b"quetzalwall_request_seconds_bucket" in body
+
+
+def test_a_feed_that_goes_silent_is_noticed():
+    silent = create_server("127.0.0.1", 0, lambda *_: gevent.sleep(60))
+    silent.start()
+    with running_site() as site:
+        watch = site.fronts[0]._watches["op"]
+        client = watch._store._client._http._connection_pool
+        client._connection_host, client._connection_port = silent.address
+        client.close()
+        client._closed = False
+        wait_for(lambda: watch.lost, 6.0)
+        assert site.get("/look/1")[0] == 200
+    silent.stop(timeout=0)
+
+
+def test_a_split_reaches_each_service():
+    with running_site() as site:
+        entry = entry_body(site.endpoints[1].place, service="spare")
+        site.store.put("servers", "ep-1", msgspec.json.encode(entry))
+        split = [{"service": "desk", "weight": 3}, {"service": "spare", "weight": 1}]
+        rows = [route_row("look", "/look/", split=split)]
+        site.write_config(config_body(2, rows, ("desk", "spare")))
+        front = site.fronts[0]
+        wait_for(lambda: front.knowledge.configuration().version == 2)
+        wait_for(lambda: front.endpoints.of_service("spare"))
+        before = [len(endpoint.arrivals) for endpoint in site.endpoints]
+        for _ in range(40):
+            assert site.get("/look/1")[0] == 200
+        counts = [
+            len(endpoint.arrivals) - old
+            for endpoint, old in zip(site.endpoints, before, strict=True)
+        ]
+        assert counts == [30, 10]
--- a/quetzalwall/request/choose.py
+++ b/quetzalwall/request/choose.py
@@ -14,6 +14,7 @@
 SETTLE_S = 0.06  # by which the first of them seems nearer
 SLOT_PART = 0.3  # of its work, by which a request delays those behind it
 CONNECT_S = 0.015  # by which a new connection makes an endpoint seem farther
+UNTRIED_S = 0.3  # by which an idle endpoint that holds nothing yet seems nearer
 FAR_S = 0.03  # by which bytes between regions make an endpoint seem farther
 FREE_PART = 0.8
 COLD_RATIO = 2.0
@@ -145,6 +146,8 @@
             key -= SETTLE_S * max(0, HOLDERS - rank) / HOLDERS
             if state.region != self._region:
                 key += FAR_S
+            if state.untried() and not state.open():
+                key -= UNTRIED_S
             if not state.client.idle_count():
                 key += CONNECT_S
             if best_key is None or key < best_key:
--- a/quetzalwall/request/lookup.py
+++ b/quetzalwall/request/lookup.py
@@ -4,7 +4,9 @@
 
 import xxhash
 
-__all__ = ["Member", "order_members"]
+__all__ = ["Member", "draw_by_link", "order_members"]
+
+ENOUGH_MBPS = 100.0  # beyond it the processor, not the link, limits an instance
 
 
 class Member(NamedTuple):
@@ -70,3 +72,34 @@
         if other is not None:
             chosen[-1] = other
     return chosen
+
+
+def draw_by_link(cards, count, rng):
+    """Draw instances for one look-up, in proportion to the room of their links.
+
+    Callers use the instances of an answer alike, so that an instance whose link is
+    narrow must be in fewer answers.
+
+    Parameters
+    ----------
+    cards : sequence of PeerCard
+        Instances that may be named.
+    count : int
+        Instances at most.
+    rng : random.Random
+        Source of randomness.
+
+    Returns
+    -------
+    list of PeerCard
+        All of them if there are no more than ``count``, or if no link is narrow.
+    """
+    weights = [min(ENOUGH_MBPS, card.link_mbps) for card in cards]
+    if len(cards) <= count or min(weights) == max(weights):
+        return list(cards)
+    keyed = [
+        (rng.random() ** (1.0 / weight), card)
+        for weight, card in zip(weights, cards, strict=True)
+    ]
+    keyed.sort(key=lambda pair: pair[0], reverse=True)
+    return [card for _, card in keyed[:count]]
--- /dev/null
+++ b/quetzalwall/tests/platform_fixtures.py
@@ -0,0 +1,203 @@
+"""Fixtures of tests on the platform: store, endpoints and instances in one process."""
+
+import json
+import random
+import socket
+import tempfile
+from contextlib import ExitStack, contextmanager
+
+import gevent
+import msgspec
+from geventhttpclient import HTTPClient
+
+from quetzalwall.clock import Clock
+from quetzalwall.platform.settings import read_settings
+from quetzalwall.process.front import create_front
+from standins.metadata_store import create_metadata_store
+from standins.served_endpoint import create_served_endpoint
+
+HOST = "shop.example"
+DOMAINS = {"north-a": "north", "north-b": "north", "south-a": "south"}
+WAIT_S = 5.0
+
+
+class ManualClock:
+    """Clock that a test moves."""
+
+    def __init__(self, now=1000.0):
+        self.now = now
+
+    def monotonic(self):
+        return self.now
+
+    def clock(self):
+        return Clock(self.monotonic, self.monotonic)
+
+
+def config_body(version=1, routes=None, services=("desk",)):
+    """Return the body of a configuration as the operator writes it."""
+    routes = routes or [
+        route_row("look", "/look/"),
+        route_row("book", "/book/", "unsafe"),
+    ]
+    columns = ["name", "hostname", "prefix", "kind", "timeout", "slo", "priority"]
+    columns += ["service", "maxAttempts", "sticky", "allowedRegions", "trafficSplit"]
+    return {
+        "version": f"r{version}",
+        "routes": {"columns": columns, "rows": routes},
+        "services": {
+            "columns": ["name", "healthPath", "maxConns", "coldStart", "coldPerS"],
+            "rows": [[name, "/health", 390, "3s", 4.0] for name in services],
+        },
+        "limits": {"maxBodyBytes": 1_000_000, "idleTimeout": "15000ms"},
+    }
+
+
+def route_row(name, prefix, kind="safe", timeout="2s", service="desk", split=None):
+    """Return a row of the table of routes."""
+    service = None if split else service
+    return [name, HOST, prefix, kind, timeout, "500ms", 1, service, 2, True, [], split]
+
+
+def entry_body(place, service="desk", state="ready", domain="north-a", **fields):
+    """Return what an endpoint says of itself in the store."""
+    body = {
+        "service": service,
+        "address": f"{place[0]}:{place[1]}",
+        "zone": domain,
+        "version": "v1",
+        "slots": 3,
+        "state": state,
+        "coldLeft": "0ms",
+        "seq": 1,
+        "born": 1_700_000_000_000,
+    }
+    return body | fields
+
+
+def settings_body(address, store, ports, instance="one", domain="north-a", seeds=()):
+    """Return the settings of an instance."""
+    return {
+        "instance": instance,
+        "address": address,
+        "region": DOMAINS[domain],
+        "domain": domain,
+        "domains": DOMAINS,
+        "listen": {
+            name: f"{address}:{port}"
+            for name, port in zip(
+                ("callers", "health", "peers", "lookup", "metrics"), ports, strict=False
+            )
+        },
+        "peer_ports": [ports[5], ports[5]],
+        "seeds": list(seeds),
+        "store": f"{store[0]}:{store[1]}",
+        "link_mbps": 1000.0,
+        "bounds": {"grace": "2s", "drain": "2500ms", "stable": "4000ms"},
+    }
+
+
+def write_settings(body):
+    """Return the path of a new settings file."""
+    with tempfile.NamedTemporaryFile("w", suffix=".json", delete=False) as file:
+        json.dump(body, file)
+    return file.name
+
+
+def free_ports(count):
+    """Return ports that nobody listens on now."""
+    socks = [socket.socket() for _ in range(count)]
+    try:
+        for sock in socks:
+            sock.bind(("127.0.0.1", 0))
+        return [sock.getsockname()[1] for sock in socks]
+    finally:
+        for sock in socks:
+            sock.close()
+
+
+class Site:
+    """A running store with endpoints and instances."""
+
+    def __init__(self, store, endpoints, fronts, ports):
+        self.store = store
+        self.endpoints = endpoints
+        self.fronts = fronts
+        self.ports = ports
+
+    def write_config(self, body):
+        self.store.put("op", "config", msgspec.json.encode(body))
+
+    def register(self, endpoint, **fields):
+        body = entry_body(endpoint.place, **fields)
+        self.store.put("servers", endpoint.name, msgspec.json.encode(body))
+
+    def get(self, target, front=0, method="GET", body=b"", **headers):
+        """Return status, headers and body of one request on a new connection."""
+        return call(
+            self.fronts[front].settings.address,
+            self.ports[0],
+            target,
+            method,
+            body,
+            **headers,
+        )
+
+
+def call(address, port, target, method="GET", body=b"", **headers):
+    """Send one request; return status, headers and body."""
+    client = HTTPClient(address, port=port, network_timeout=10.0)
+    sent = {"Host": HOST, "X-Quetzalwall-Request-Id": f"{random.getrandbits(64):016x}"}
+    sent |= {name.replace("_", "-"): value for name, value in headers.items()}
+    try:
+        res = client.request(method, target, body=body, headers=sent)
+        return res.status_code, dict(res.items()), bytes(res.read())
+    finally:
+        client.close()
+
+
+def wait_for(condition, limit_s=WAIT_S):
+    """Wait until a condition holds; fail if it does not in time."""
+    with gevent.Timeout(limit_s, AssertionError(f"not in {limit_s} s")):
+        while not condition():
+            gevent.sleep(0.01)
+
+
+@contextmanager
+def running_site(fronts=1, endpoints=2, work_s=0.01, store_down=False, **options):
+    """Run a store, endpoints of one service, and instances that are ready."""
+    ports = free_ports(6)
+    with ExitStack() as stack:
+        store = create_metadata_store()
+        store.start()
+        stack.callback(store.close)
+        served = [
+            create_served_endpoint(f"ep-{n}", work_s=work_s, **options)
+            for n in range(endpoints)
+        ]
+        site = Site(store, served, [], ports)
+        site.write_config(config_body())
+        for endpoint in served:
+            endpoint.start()
+            stack.callback(endpoint.close)
+            site.register(endpoint)
+        for number in range(fronts):
+            site.fronts.append(start_front(stack, site, number))
+        for front in site.fronts:
+            wait_for(front.knowledge.ready)
+        wait_for(lambda: all(len(f.fleet.live()) == fronts for f in site.fronts))
+        yield site
+
+
+def start_front(stack, site, number, seeds=()):
+    """Start one more instance."""
+    address = f"127.0.2.{number + 1}"
+    domain = ("north-a", "north-b", "south-a")[number % 3]
+    body = settings_body(
+        address, site.store.server.address, site.ports, f"front-{number}", domain, seeds
+    )
+    file = write_settings(body)
+    front = create_front(read_settings(file), file, seed=number)
+    front.start()
+    stack.callback(front.close)
+    return front
