Refuse at once what would queue too long; load patterns without a network; fault soak

Ruled out: processor (0.09 cores), links, cold pacing. A request is now refused when its wait exceeds 1.2 times its target, or half the target of a more urgent route of the service; the delay of those behind counts 0.7 of the work.

--- /dev/null
+++ b/benchmarks/platform_load.py
@@ -0,0 +1,330 @@
+"""Load patterns played against the choice of endpoints, without a network.
+
+Instances run the daemon's own code for knowledge and choice on a clock that the player
+moves. Endpoints are modelled: slots, a queue in order of arrival, and the objects that
+they served last, whose requests take a part of the time.
+"""
+
+import heapq
+import itertools
+import json
+import random
+from collections import OrderedDict, deque
+from typing import NamedTuple
+
+from quetzalwall.platform.headers import answer_facts
+from quetzalwall.platform.settings import Bounds
+from quetzalwall.platform.store import RowChange, Rows
+from quetzalwall.process.knowledge.endpoint_table import create_endpoint_table
+from quetzalwall.process.knowledge.fleet import PeerCard, create_fleet
+from quetzalwall.process.knowledge.knowledge import create_knowledge
+from quetzalwall.process.limits.cold_pacing import create_cold_pacing
+from quetzalwall.request.choose import Refusal, create_chooser
+from quetzalwall.request.estimate import create_durations
+from quetzalwall.version.model import Configuration, Limits, Route, Service
+
+__all__ = ["Pattern", "Result", "play"]
+
+GOSSIP_S = 0.1
+SERVICE = "desk"
+HELD_PART = 0.3  # of the work, where the endpoint served the object lately
+
+
+class Pattern(NamedTuple):
+    """A load.
+
+    Attributes
+    ----------
+    per_s : float
+        Requests a second.
+    work_s : float
+        Mean work of a request whose object the endpoint does not hold.
+    target_s, timeout_s : float
+        Response time aimed at, and the longest wait.
+    objects : int
+        Objects that requests concern; each belongs to one region.
+    kept : int
+        Objects that an endpoint holds.
+    endpoints, slots, instances : int
+        Sizes; instances and endpoints are spread evenly over three regions.
+    span_s : float
+        Length of the load.
+    slow : float
+        How many times as long work takes on one endpoint in seven.
+    """
+
+    per_s: float
+    work_s: float = 0.6
+    target_s: float = 0.6
+    timeout_s: float = 2.0
+    objects: int = 72
+    kept: int = 40
+    endpoints: int = 15
+    slots: int = 6
+    instances: int = 6
+    span_s: float = 30.0
+    slow: float = 1.0
+
+
+class Result(NamedTuple):
+    """What became of the requests, as parts of all.
+
+    Attributes
+    ----------
+    in_target, late, refused, timed_out : float
+        They add up to 1.
+    """
+
+    in_target: float
+    late: float
+    refused: float
+    timed_out: float
+
+
+class _Endpoint:
+    def __init__(self, pattern, slowness):
+        self.pattern = pattern
+        self.slowness = slowness
+        self.busy = 0
+        self.queue = deque()
+        self.held = OrderedDict()
+
+    def work_s(self, req):
+        part = HELD_PART if req.object in self.held else 1.0
+        return req.work_s * part * self.slowness
+
+    def note(self, key):
+        self.held[key] = True
+        self.held.move_to_end(key)
+        if len(self.held) > self.pattern.kept:
+            self.held.popitem(last=False)
+
+
+class _Request:
+    def __init__(self, arrived, region, key, work_s):
+        self.arrived = arrived
+        self.region = region
+        self.object = key
+        self.work_s = work_s
+        self.choice = None
+        self.instance = None
+        self.work = 0.0
+
+
+class _Instance:
+    def __init__(self, number, pattern, player):
+        region = f"region-{number % 3}"
+        self.region = region
+        domains = {f"domain-{n}": f"region-{n}" for n in range(3)}
+        endpoints = create_endpoint_table(domains, answer_facts, player.monotonic)
+        card = PeerCard(f"front-{number}", region, f"domain-{number % 3}", f"h{number}")
+        self.fleet = create_fleet(card, 1, endpoints, player.monotonic, number + 1)
+        knowledge = create_knowledge(endpoints, self.fleet)
+        knowledge.apply("servers", player.rows, True, False)
+        self.endpoints = endpoints
+        self.durations = create_durations(region)
+        self.chooser = create_chooser(
+            endpoints,
+            self.durations,
+            create_cold_pacing(card.name, Bounds()),
+            self.fleet,
+            random.Random(number),
+        )
+
+
+class _Player:
+    def __init__(self, pattern, choose, seed):
+        self.pattern = pattern
+        self.now = 100.0
+        self.rng = random.Random(seed)
+        self.choose = choose
+        self.events = []
+        self.order = itertools.count()
+        self.counts = {"in_target": 0, "late": 0, "refused": 0, "timed_out": 0}
+        names = [f"ep-{n}" for n in range(pattern.endpoints)]
+        self.rows = Rows(
+            [RowChange(n, _entry(i, pattern), 1) for i, n in enumerate(names)], 1
+        )
+        self.endpoints = {
+            name: _Endpoint(pattern, pattern.slow if n % 7 == 0 else 1.0)
+            for n, name in enumerate(names)
+        }
+        self.instances = [_Instance(n, pattern, self) for n in range(pattern.instances)]
+        route = Route(
+            "look",
+            "h",
+            "/",
+            True,
+            pattern.timeout_s,
+            pattern.target_s,
+            1,
+            2,
+            True,
+            (),
+            ((SERVICE, 1.0),),
+        )
+        self.route = route
+        service = Service(SERVICE, "/health", 400, 3.0, 4.0)
+        self.cfg = Configuration(1, {"h": [route]}, {SERVICE: service}, Limits())
+
+    def monotonic(self):
+        return self.now
+
+    def at(self, when, step, *args):
+        heapq.heappush(self.events, (when, next(self.order), step, args))
+
+    def run(self):
+        end = self.now + self.pattern.span_s
+        self.at(self.now, self.gossip)
+        self.at(self.now, self.arrive, end)
+        while self.events:
+            self.now, _, step, args = heapq.heappop(self.events)
+            step(*args)
+            if self.now > end + self.pattern.timeout_s:
+                break
+        total = sum(self.counts.values())
+        return Result(*(self.counts[name] / total for name in Result._fields))
+
+    def gossip(self):
+        hosts = {instance.fleet.card.host: instance for instance in self.instances}
+        for instance in self.instances:
+            if self.now == 100.0:
+                for other in self.instances:
+                    instance.fleet.introduce(other.fleet.card)
+            for report, cards in instance.fleet.due_reports(self.now):
+                for card in cards:
+                    hosts[card.host].fleet.receive(report, self.now)
+        self.at(self.now + GOSSIP_S, self.gossip)
+
+    def arrive(self, end):
+        if self.now > end:
+            return
+        self.at(self.now + self.rng.expovariate(self.pattern.per_s), self.arrive, end)
+        key = self.rng.randrange(self.pattern.objects)
+        region = f"region-{key % 3}"
+        work_s = self.pattern.work_s * self.rng.lognormvariate(0, 0.15)
+        req = _Request(self.now, region, key, work_s)
+        near = [one for one in self.instances if one.region == region]
+        req.instance = self.rng.choice(near)
+        self.send(req)
+
+    def send(self, req):
+        name = self.choose(self, req)
+        if name is None:
+            self.counts["refused"] += 1
+            return
+        self.at(self.now + self.pattern.timeout_s, self.time_out, req)
+        endpoint = self.endpoints[name]
+        endpoint.queue.append(req)
+        self.begin(name)
+
+    def begin(self, name):
+        endpoint = self.endpoints[name]
+        while endpoint.queue and endpoint.busy < self.pattern.slots:
+            req = endpoint.queue.popleft()
+            endpoint.busy += 1
+            req.work = endpoint.work_s(req)
+            self.at(self.now + req.work, self.finish, name, req)
+
+    def finish(self, name, req):
+        endpoint = self.endpoints[name]
+        endpoint.busy -= 1
+        self.begin(name)
+        if req.work is None:
+            return
+        endpoint.note(req.object)
+        took_s = self.now - req.arrived
+        self.counts["in_target" if took_s <= self.pattern.target_s else "late"] += 1
+        self.learn(req, endpoint)
+        req.work = None
+
+    def learn(self, req, endpoint):
+        if req.choice is None:
+            return
+        state = req.choice.state
+        state.own_open -= 1
+        state.note_slowness(endpoint.slowness, self.now, own=True)
+        state.note_held(req.object)
+        req.instance.fleet.note_held(state.name, req.object)
+        if req.choice.wait_s == 0:
+            seconds = req.work / req.choice.slowness
+            durations = req.instance.durations
+            durations.note_work(self.route, SERVICE, req.choice.held, seconds)
+
+    def time_out(self, req):
+        if req.work is None:
+            return
+        self.counts["timed_out"] += 1
+        if req.choice is not None:
+            req.choice.state.own_open -= 1
+        for endpoint in self.endpoints.values():
+            if req in endpoint.queue:
+                endpoint.queue.remove(req)
+        req.work = None
+
+
+def choose_ours(player, req):
+    """Return the endpoint that the daemon's code chooses, or None."""
+    choice = req.instance.chooser.choose(
+        player.cfg,
+        player.route,
+        SERVICE,
+        req.object,
+        player.pattern.timeout_s,
+        player.now,
+    )
+    if isinstance(choice, Refusal):
+        return None
+    choice.state.own_open += 1
+    req.choice = choice
+    return choice.state.name
+
+
+def choose_at_random(player, req):
+    """Return any endpoint."""
+    return player.rng.choice(list(player.endpoints))
+
+
+def choose_shortest(player, req):
+    """Return the endpoint with the fewest requests, as if all were known."""
+    return min(
+        player.endpoints,
+        key=lambda name: (
+            player.endpoints[name].busy + len(player.endpoints[name].queue),
+            player.rng.random(),
+        ),
+    )
+
+
+CHOICES = {"ours": choose_ours, "random": choose_at_random, "shortest": choose_shortest}
+
+
+def play(pattern, choice="ours", seed=1):
+    """Play a pattern and return what became of its requests.
+
+    Parameters
+    ----------
+    pattern : Pattern
+        The load.
+    choice : {"ours", "random", "shortest"}, default="ours"
+        Who chooses; the others are baselines.
+    seed : int, default=1
+        Seed of arrivals, objects and work.
+
+    Returns
+    -------
+    Result
+    """
+    return _Player(pattern, CHOICES[choice], seed).run()
+
+
+def _entry(number, pattern):
+    body = {
+        "service": SERVICE,
+        "address": f"10.0.0.{number + 1}:80",
+        "zone": f"domain-{number % 3}",
+        "slots": pattern.slots,
+        "state": "ready",
+        "coldLeft": "0ms",
+    }
+    return json.dumps(body).encode()
--- a/quetzalwall/process/knowledge/fleet.py
+++ b/quetzalwall/process/knowledge/fleet.py
@@ -263,6 +263,40 @@
             if state is not None:
                 state.note_held(object_key)
 
+    def due_reports(self, now):
+        """Return the reports to send now; each call tells what came since the last.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        list of (PeerReport, list of PeerCard)
+            Each report with those that get it.
+        """
+        due = []
+        for audience in self._audiences:
+            if now - audience.told > self._period_s(audience) - PERIOD_S / 2:
+                due.append(
+                    (self._own_report(audience, now), self._called(audience, now))
+                )
+                audience.told = now
+                audience.held.clear()
+        return due
+
+    def _called(self, audience, now):
+        cards = []
+        for peer in self._peers.values():
+            if (peer.card.region == self.card.region) != audience.near:
+                continue
+            if peer.silent and now - peer.called < CALL_EVERY_S:
+                continue
+            peer.called = now
+            cards.append(peer.card)
+        return cards
+
     def follows_store(self):
         """Return whether this instance follows the store for itself and others.
 
@@ -358,23 +392,12 @@
         while True:
             now = self._monotonic()
             self.expire(now)
-            for audience in self._audiences:
-                if now - audience.told > self._period_s(audience) - PERIOD_S / 2:
-                    self._tell(audience, now)
+            for report, cards in self.due_reports(now):
+                raw = ENCODER.encode(report)
+                for card in cards:
+                    self._send(raw, card.host)
             gevent.sleep(PERIOD_S)
 
-    def _tell(self, audience, now):
-        raw = ENCODER.encode(self._own_report(audience, now))
-        audience.told = now
-        audience.held.clear()
-        for peer in list(self._peers.values()):
-            if (peer.card.region == self.card.region) != audience.near:
-                continue
-            if peer.silent and now - peer.called < CALL_EVERY_S:
-                continue
-            peer.called = now
-            self._send(raw, peer.card.host)
-
     def _send(self, raw, host):
         try:
             self._sock.sendto(raw, (host, self._port))
--- a/quetzalwall/request/choose.py
+++ b/quetzalwall/request/choose.py
@@ -12,9 +12,11 @@
 
 HOLDERS = 3  # endpoints at which an object that none holds should settle
 SETTLE_S = 0.06  # by which the first of them seems nearer
-SLOT_PART = 0.3  # of its work, by which a request delays those behind it
+SLOT_PART = 0.7  # of its work, by which a request delays those behind it
 CONNECT_S = 0.015  # by which a new connection makes an endpoint seem farther
 UNTRIED_S = 0.3  # by which an idle endpoint that holds nothing yet seems nearer
+YIELDING_WAIT = 0.5  # of the targets of more urgent routes, that others may queue
+LONGEST_WAIT = 1.2  # of its target, that a most urgent request may queue
 FAR_S = 0.03  # by which bytes between regions make an endpoint seem farther
 FREE_PART = 0.8
 COLD_RATIO = 2.0
@@ -166,12 +168,30 @@
         )
         if least_s > left_s:
             return Refusal("too late", _retry_after_s(best.wait_s))
+        if best.wait_s > self._longest_wait_s(cfg, route, service):
+            return Refusal("overload", _retry_after_s(best.wait_s))
         if best.state.open() >= FULL_RATIO * best.state.entry.slots:
             return Refusal("full", _retry_after_s(best.wait_s))
         if best.state.cold(now):
             self._cold_pacing.note(best.state.name, now)
         return best
 
+    def _longest_wait_s(self, cfg, route, service):
+        """Return how long a request may queue without taking the room of others.
+
+        An endpoint serves in order of arrival, so what is less urgent has to be
+        refused before the queue makes what is more urgent late.
+        """
+        urgent = [
+            other.target_s
+            for routes in cfg.hosts.values()
+            for other in routes
+            if other.rank < route.rank and any(s == service for s, _ in other.split)
+        ]
+        if urgent:
+            return YIELDING_WAIT * min(urgent)
+        return LONGEST_WAIT * route.target_s
+
     def _candidates(self, cfg, route, service, now, tried):
         usable = [
             state
--- /dev/null
+++ b/quetzalwall/request/tests/test_load_patterns.py
@@ -0,0 +1,40 @@
+"""What callers get under loads that have hurt, played without a network."""
+
+from nose2.tools import params
+
+from benchmarks.platform_load import Pattern, play
+
+QUIET = Pattern(per_s=90.0)
+# Cold endpoints could serve 150 requests a second, and 500 once they hold the objects:
+# with long queues of requests that time out, they never come to hold them.
+COLD_START = Pattern(per_s=260.0)
+# As much again: what can't be served in time has to be refused, not queued.
+BEYOND_COLD = COLD_START._replace(per_s=400.0)
+FEW_AN_OBJECT = Pattern(per_s=30.0, objects=150, endpoints=15, slots=3)
+SLOW_NEIGHBOURS = Pattern(per_s=90.0, slow=4.0)
+SEEDS = (1, 2, 3)
+
+
+def mean_in_target(pattern, choice="ours"):
+    return sum(play(pattern, choice, seed).in_target for seed in SEEDS) / len(SEEDS)
+
+
+@params(
+    ("quiet", QUIET, 0.9),
+    ("more work than cold endpoints can do", COLD_START, 0.9),
+    ("far more work than cold endpoints can do", BEYOND_COLD, 0.9),
+    ("few requests an object", FEW_AN_OBJECT, 0.8),
+    ("slow neighbours", SLOW_NEIGHBOURS, 0.85),
+)
+def test_callers_are_served_in_time(name, pattern, least):
+    ours = mean_in_target(pattern)
+    assert ours >= least, (name, ours)
+    for other in ("random", "shortest"):
+        baseline = mean_in_target(pattern, other)
+        assert ours > baseline, (name, ours, other, baseline)
+
+
+def test_a_cold_start_ends_in_endpoints_that_hold_the_objects():
+    for seed in SEEDS:
+        result = play(COLD_START, seed=seed)
+        assert result.timed_out < 0.05, result
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Fault soak: the real programs as separate processes, with faults from outside."""
--- /dev/null
+++ b/soak/fleet.py
@@ -0,0 +1,215 @@
+"""Instances as processes of their own, and the world around them in this process."""
+
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+from contextlib import ExitStack
+
+import gevent
+import msgspec
+
+from quetzalwall.tests.platform_fixtures import (
+    call,
+    config_body,
+    entry_body,
+    free_ports,
+    route_row,
+    settings_body,
+    write_settings,
+)
+from soak.proxy import create_proxy
+from standins.metadata_store import create_metadata_store
+from standins.served_endpoint import create_served_endpoint
+
+__all__ = ["Instance", "World"]
+
+DOMAINS = ("north-a", "north-b", "south-a")
+START_S = 15.0
+GRACE = "3s"
+
+
+class Instance:
+    """One instance: its process, and the proxy between it and the store.
+
+    Parameters
+    ----------
+    number : int
+        Place in the fleet.
+    world : World
+        What is around it.
+    """
+
+    def __init__(self, number, world):
+        self.address = f"127.0.3.{number + 1}"
+        self.domain = DOMAINS[number % 3]
+        self.store = create_proxy(world.store.server.address)
+        self.store.start()
+        seeds = [f"127.0.3.{n + 1}:{world.ports[2]}" for n in range(3)]
+        body = settings_body(
+            self.address,
+            self.store.place,
+            world.ports,
+            f"front-{number}",
+            self.domain,
+            seeds,
+        )
+        body["bounds"]["grace"] = GRACE
+        self.file = write_settings(body)
+        self.process = None
+        self.paused = False
+        self.stopping = False
+        self.starts = 0
+        self.log = tempfile.NamedTemporaryFile(  # noqa: SIM115
+            "ab", suffix=f"-front-{number}.log", delete=False
+        )
+
+    def start(self):
+        """Start the process."""
+        self.starts += 1
+        self.paused = self.stopping = False
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "quetzalwall", "front", "--settings", self.file],
+            stdout=self.log,
+            stderr=subprocess.STDOUT,
+        )
+
+    def running(self):
+        """Return whether the process runs and is not paused.
+
+        Returns
+        -------
+        bool
+        """
+        alive = self.process is not None and self.process.poll() is None
+        return alive and not self.paused
+
+    def signal(self, number):
+        """Send a signal if the process runs.
+
+        Parameters
+        ----------
+        number : signal.Signals
+            The signal.
+        """
+        if self.process.poll() is None:
+            self.process.send_signal(number)
+            self.paused = number == signal.SIGSTOP or (
+                self.paused and number != signal.SIGCONT
+            )
+
+    def close(self):
+        """Kill the process and wait for its end."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.kill()
+        while self.process is not None and self.process.poll() is None:
+            gevent.sleep(0.02)
+        self.store.close()
+        self.log.close()
+        os.unlink(self.file)
+
+
+class World:
+    """A store, endpoints and a fleet.
+
+    Parameters
+    ----------
+    fleet : int
+        Instances.
+    endpoints : int
+        Endpoints of the service at the start.
+    """
+
+    def __init__(self, fleet, endpoints):
+        self.stack = ExitStack()
+        self.ports = free_ports(6)
+        self.store = create_metadata_store()
+        self.version = 0
+        self.endpoints = {}
+        self.left = {}
+        self.instances = []
+        self._fleet = fleet
+        self._first = endpoints
+        self._added = 0
+
+    def start(self):
+        """Start everything and wait until the fleet is ready."""
+        self.store.start()
+        self.stack.callback(self.store.close)
+        self.configure()
+        for _ in range(self._first):
+            self.add_endpoint()
+        for number in range(self._fleet):
+            instance = Instance(number, self)
+            self.stack.callback(instance.close)
+            self.instances.append(instance)
+            instance.start()
+        with gevent.Timeout(START_S):
+            while not all(self.ready(instance) for instance in self.instances):
+                gevent.sleep(0.1)
+
+    def close(self):
+        """End everything that was started."""
+        self.stack.close()
+
+    def ready(self, instance):
+        """Return whether an instance says that it is ready.
+
+        Parameters
+        ----------
+        instance : Instance
+            The instance.
+
+        Returns
+        -------
+        bool
+        """
+        try:
+            return call(instance.address, self.ports[1], "/ready")[0] == 200
+        except OSError:
+            return False
+
+    def configure(self):
+        """Accept another configuration; its routes carry its version."""
+        self.version += 1
+        rows = [
+            route_row("look", "/look/", timeout="1500ms"),
+            route_row("book", "/book/", "unsafe", timeout="1500ms"),
+            route_row(f"v{self.version}", f"/v{self.version}/"),
+        ]
+        body = config_body(self.version, rows)
+        self.store.put("op", "config", msgspec.json.encode(body))
+        return self.version
+
+    def add_endpoint(self, cold="0ms"):
+        """Start and register an endpoint.
+
+        Parameters
+        ----------
+        cold : str, default="0ms"
+            For how long it says that it is cold.
+        """
+        self._added += 1
+        name = f"ep-{self._added}"
+        endpoint = create_served_endpoint(name, slots=6, queue=18, work_s=0.03)
+        endpoint.start()
+        self.stack.callback(endpoint.close)
+        self.endpoints[name] = endpoint
+        domain = DOMAINS[self._added % 3]
+        body = entry_body(endpoint.place, domain=domain, coldLeft=cold)
+        self.store.put("servers", name, msgspec.json.encode(body))
+        return endpoint
+
+    def drain(self, name):
+        """Report an endpoint as leaving; it goes on serving.
+
+        Parameters
+        ----------
+        name : str
+            The endpoint.
+        """
+        endpoint = self.endpoints.pop(name)
+        body = entry_body(endpoint.place, state="draining")
+        self.store.put("servers", name, msgspec.json.encode(body))
+        self.left[name] = endpoint
--- /dev/null
+++ b/soak/run.py
@@ -0,0 +1,342 @@
+"""Run the soak: ``python -m soak.run --seed 1 --seconds 20``.
+
+The seed decides the schedule of faults, which is printed, so that a failing run can be
+played again.
+"""
+
+import argparse
+import random
+import signal
+import sys
+import time
+from contextlib import suppress
+
+import gevent
+from geventhttpclient import HTTPClient
+
+from quetzalwall.tests.platform_fixtures import HOST
+from soak.checks import COLD_PER_S, DRAIN_S, Attempt, Breach, Calm, find_breaches
+from soak.fleet import World
+
+__all__ = ["main", "make_schedule", "run_soak"]
+
+FAULTS = (
+    "kill",
+    "term",
+    "pause",
+    "store down",
+    "store slow",
+    "store loses replies",
+    "store forgets",
+    "store refuses one",
+    "cut from store",
+    "reset store",
+    "endpoint loses answers",
+    "endpoint sheds",
+    "endpoint hangs",
+    "endpoint answers twice",
+    "endpoint cut short",
+    "configure",
+    "configure",
+    "drain",
+    "add cold",
+    "hup",
+)
+CALLERS = 12
+
+
+class Soak:
+    """One run.
+
+    Parameters
+    ----------
+    seed : int
+        Decides schedule and traffic.
+    seconds : float
+        Length of the traffic.
+    fleet : int
+        Instances.
+    """
+
+    def __init__(self, seed, seconds, fleet):
+        self.rng = random.Random(seed)
+        self.seconds = seconds
+        self.world = World(fleet, 8)
+        self.attempts = []
+        self.calm = Calm([], [])
+        self.breaches = []
+        self.schedule = make_schedule(seed, seconds, fleet)
+        self.began = 0.0
+        self.ending = False
+        self._count = 0
+
+    def run(self):
+        """Play everything; return the breaches."""
+        try:
+            self.world.start()
+            self.began = time.monotonic()
+            callers = [gevent.spawn(self._call, n) for n in range(CALLERS)]
+            faults = [gevent.spawn_later(f[0], self._fault, *f) for f in self.schedule]
+            gevent.sleep(self.seconds)
+            self.ending = True
+            gevent.joinall(callers)
+            gevent.joinall(faults)
+            self._check_drained()
+        finally:
+            self.world.close()
+        endpoints = [*self.world.endpoints.values(), *self.world.left.values()]
+        return self.breaches + find_breaches(self.attempts, endpoints, self.calm)
+
+    def _call(self, number):
+        rng = random.Random(f"{number} {self.rng.random()}")
+        while not self.ending:
+            index = rng.randrange(len(self.world.instances))
+            instance = self.world.instances[index]
+            if not instance.running():
+                gevent.sleep(0.05)
+                continue
+            self._keep_connection(rng, index, instance)
+
+    def _keep_connection(self, rng, index, instance):
+        """Send requests on one connection until it ends."""
+        starts = instance.starts
+        client = HTTPClient(
+            instance.address,
+            port=self.world.ports[0],
+            network_timeout=4.0,
+            connection_timeout=1.0,
+        )
+        try:
+            for _ in range(40):
+                if self.ending or instance.starts != starts:
+                    return
+                attempt = self._request(rng, client, index, instance)
+                self.attempts.append(attempt)
+                if attempt.status == 0:
+                    return
+                gevent.sleep(rng.random() * 0.06)
+        finally:
+            client.close()
+
+    def _request(self, rng, client, index, instance):
+        self._count += 1
+        request_id = f"r{self._count:08x}"
+        version = max(1, self.world.version - rng.randrange(3))
+        kind = rng.choices(("look", "book", f"v{version}"), (5, 4, 1))[0]
+        headers = {
+            "Host": HOST,
+            "X-Quetzalwall-Request-Id": request_id,
+            "X-Quetzalwall-Deadline-Ms": "2000",
+            "Cookie": f"X-Quetzalwall-Affinity-Key={rng.randrange(40)}",
+        }
+        method = "POST" if kind == "book" else "GET"
+        starts, sent = instance.starts, time.monotonic()
+        status, echo, body = 0, "", ""
+        with suppress(Exception):
+            res = client.request(method, f"/{kind}/x", body=b"", headers=headers)
+            raw = bytes(res.read())
+            status, echo = res.status_code, res.get("X-Quetzalwall-Request-Id") or ""
+            body = raw.decode(errors="replace")
+        planned = instance.stopping and instance.starts == starts
+        ended = time.monotonic()
+        return Attempt(
+            request_id, kind, index, starts, sent, ended, status, echo, body, planned
+        )
+
+    def _fault(self, at, kind, number, span_s):
+        instance = self.world.instances[number]
+        endpoint = self.rng.choice(list(self.world.endpoints.values()))
+        began = time.monotonic()
+        STEPS[kind](self, instance, endpoint, span_s)
+        if kind not in CALM_FAULTS:
+            whom = -1 if kind in STORE_FAULTS else number
+            self.calm.troubled.append((began, time.monotonic(), whom))
+
+    def _kill(self, instance, endpoint, span_s):
+        instance.signal(signal.SIGKILL)
+        gevent.sleep(span_s / 4)
+        self._restart(instance)
+
+    def _term(self, instance, endpoint, span_s):
+        if not instance.running() or instance.stopping:
+            return
+        instance.stopping = True
+        instance.signal(signal.SIGTERM)
+        with gevent.Timeout(8.0, False):
+            while instance.process.poll() is None:
+                gevent.sleep(0.05)
+        self._restart(instance)
+
+    def _restart(self, instance):
+        instance.signal(signal.SIGCONT)
+        while instance.process.poll() is None:
+            gevent.sleep(0.02)
+        instance.start()
+        with gevent.Timeout(10.0, False):
+            while not self.world.ready(instance):
+                gevent.sleep(0.1)
+
+    def _pause(self, instance, endpoint, span_s):
+        instance.signal(signal.SIGSTOP)
+        gevent.sleep(span_s)
+        instance.signal(signal.SIGCONT)
+
+    def _store(self, span_s, **faults):
+        self.world.store.set_faults(**faults)
+        gevent.sleep(span_s)
+        calm = dict.fromkeys(faults, False) | {
+            name: type(value)() for name, value in faults.items()
+        }
+        self.world.store.set_faults(**calm)
+
+    def _proxy(self, instance, span_s, fault):
+        instance.store.fault = fault
+        gevent.sleep(span_s)
+        instance.store.fault = ""
+
+    def _behave(self, endpoint, span_s, **behaviour):
+        endpoint.behaviour.update(behaviour)
+        gevent.sleep(span_s)
+        for name in behaviour:
+            endpoint.behaviour.pop(name, None)
+
+    def _configure(self, *_):
+        version = self.world.configure()
+        self.calm.versions.append((time.monotonic(), version))
+
+    def _drain(self, instance, endpoint, span_s):
+        if len(self.world.endpoints) < 4 or endpoint.name not in self.world.endpoints:
+            return
+        self.world.drain(endpoint.name)
+        endpoint.left_at = time.monotonic()
+
+    def _check_drained(self):
+        for name, endpoint in self.world.left.items():
+            late = endpoint.left_at + DRAIN_S
+            spans = [s for s in self.calm.troubled if s[1] + 4.0 > endpoint.left_at]
+            after = [at for at in endpoint.times if at > late]
+            if after and not spans:
+                self.breaches.append(Breach("drain", f"{name}: {len(after)} after"))
+
+    def _add_cold(self, *_):
+        endpoint = self.world.add_endpoint("2s")
+        began = time.monotonic()
+        gevent.sleep(2.0)
+        times = [at for at in endpoint.times if at < began + 2.0]
+        most = max((sum(a <= t < a + 1 for t in times) for a in times), default=0)
+        if most > COLD_PER_S:
+            self.breaches.append(Breach("cold", f"{endpoint.name}: {most} in a second"))
+
+
+STORE_FAULTS = {
+    "store down",
+    "store slow",
+    "store loses replies",
+    "store forgets",
+}
+CALM_FAULTS = {"configure", "drain", "add cold", "hup", "store loses replies"}
+STEPS = {
+    "kill": Soak._kill,
+    "term": Soak._term,
+    "pause": Soak._pause,
+    "store down": lambda s, i, e, t: s._store(t, down=True),
+    "store slow": lambda s, i, e, t: s._store(t, slow_s=0.4),
+    "store loses replies": lambda s, i, e, t: s._store(t, lose_replies=2, late_s=0.5),
+    "store forgets": lambda s, i, e, t: s.world.store.set_faults(forget=True),
+    "store refuses one": lambda s, i, e, t: s._proxy(i, t, "refuse"),
+    "cut from store": lambda s, i, e, t: s._proxy(i, t, "silent"),
+    "reset store": lambda s, i, e, t: i.store.reset(),
+    "endpoint loses answers": lambda s, i, e, t: s._behave(e, t, lose=True),
+    "endpoint sheds": lambda s, i, e, t: s._behave(e, t, shed=True),
+    "endpoint hangs": lambda s, i, e, t: s._behave(e, t, hang=True),
+    "endpoint answers twice": lambda s, i, e, t: s._behave(e, t, extra=True),
+    "endpoint cut short": lambda s, i, e, t: s._behave(e, t, cut=True),
+    "configure": Soak._configure,
+    "drain": Soak._drain,
+    "add cold": Soak._add_cold,
+    "hup": lambda s, i, e, t: i.signal(signal.SIGHUP),
+}
+
+
+def make_schedule(seed, seconds, fleet):
+    """Return the faults of a seed.
+
+    Parameters
+    ----------
+    seed : int
+        The seed.
+    seconds : float
+        Length of the traffic.
+    fleet : int
+        Instances.
+
+    Returns
+    -------
+    list of (float, str, int, float)
+        Second, kind, instance, and length in seconds.
+    """
+    rng = random.Random(f"schedule {seed}")
+    count = int(seconds * 0.8)
+    times = sorted(rng.uniform(1.0, max(1.0, seconds - 4.0)) for _ in range(count))
+    return [
+        (at, rng.choice(FAULTS), rng.randrange(fleet), rng.uniform(0.5, 3.0))
+        for at in times
+    ]
+
+
+def run_soak(seed, seconds, fleet=5):
+    """Run one seed.
+
+    Parameters
+    ----------
+    seed : int
+        Decides schedule and traffic.
+    seconds : float
+        Length of the traffic.
+    fleet : int, default=5
+        Instances.
+
+    Returns
+    -------
+    (list of Breach, Soak)
+    """
+    soak = Soak(seed, seconds, fleet)
+    return soak.run(), soak
+
+
+def main(argv=None):
+    """Run seeds and print what they found.
+
+    Parameters
+    ----------
+    argv : sequence of str, default=None
+        Arguments; those of the process if None.
+
+    Returns
+    -------
+    int
+        1 if a promise was broken.
+    """
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--count", type=int, default=1, help="seeds, one after another")
+    parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--instances", type=int, default=5)
+    args = parser.parse_args(argv)
+    broken = 0
+    for seed in range(args.seed, args.seed + args.count):
+        breaches, soak = run_soak(seed, args.seconds, args.instances)
+        print(f"seed {seed}: {soak.schedule}")
+        statuses = {}
+        for attempt in soak.attempts:
+            statuses[attempt.status] = statuses.get(attempt.status, 0) + 1
+        print(f"seed {seed}: statuses {statuses}, {len(breaches)} breaches", flush=True)
+        for breach in breaches[:10]:
+            print(f"  {breach.promise}: {breach.detail}")
+        broken += bool(breaches)
+    print(f"{args.count - broken} passed, {broken} failed")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/standins/served_endpoint.py
+++ b/standins/served_endpoint.py
@@ -8,6 +8,7 @@
 """
 
 import re
+import time
 
 import gevent
 import gevent.lock
@@ -45,6 +46,8 @@
         self.behaviour = {}
         self.runs = {}
         self.arrivals = []
+        self.times = []
+        self.left_at = None
         self.cancelled = 0
         self.connections = 0
         self._open = 0
@@ -88,6 +91,7 @@
         request_id = headers.get(f"{PREFIX}Request-Id".lower(), "")
         expected = headers.get(f"{PREFIX}Expect-Instance".lower(), self.name)
         self.arrivals.append((request_id, headers))
+        self.times.append(time.monotonic())
         if self.behaviour.get("early"):
             _answer(sock, 503, b"", request_id, not_run=True)
             reader.read(length)
