--- a/benchmarks/platform_load.py
+++ b/benchmarks/platform_load.py
@@ -16,8 +16,9 @@
 from quetzalwall.platform.settings import Bounds
 from quetzalwall.platform.store import RowChange, Rows
 from quetzalwall.process.knowledge.endpoint_table import create_endpoint_table
-from quetzalwall.process.knowledge.fleet import PeerCard, create_fleet
+from quetzalwall.process.knowledge.fleet import create_fleet
 from quetzalwall.process.knowledge.knowledge import create_knowledge
+from quetzalwall.process.knowledge.peer_report import PeerCard
 from quetzalwall.process.limits.cold_pacing import create_cold_pacing
 from quetzalwall.request.choose import Refusal, create_chooser
 from quetzalwall.request.estimate import create_durations
--- a/quetzalwall/connection/front_server.py
+++ b/quetzalwall/connection/front_server.py
@@ -2,6 +2,7 @@
 
 import errno
 
+from quetzalwall.connection.caller import CallerLeft
 from quetzalwall.connection.http_server import (
     BadRequest,
     QuietHandler,
@@ -9,7 +10,6 @@
 )
 from quetzalwall.logs import describe_failure, get_logger, log_event
 from quetzalwall.request.answers import status_line
-from quetzalwall.request.serve import CallerLeft
 
 __all__ = ["create_front_application", "create_front_server"]
 
--- a/quetzalwall/platform/headers.py
+++ b/quetzalwall/platform/headers.py
@@ -6,6 +6,7 @@
 from quetzalwall.connection.http_server import BadRequest
 
 __all__ = [
+    "READY_PATH",
     "AnswerFacts",
     "CallerFacts",
     "answer_facts",
@@ -39,6 +40,7 @@
     ]
 )
 OWN = frozenset((DEADLINE.lower(), EXPECT.lower()))
+READY_PATH = "/ready"
 MISDIRECTED = 421
 
 
--- a/quetzalwall/process/front.py
+++ b/quetzalwall/process/front.py
@@ -3,7 +3,6 @@
 import os
 import random
 from typing import NamedTuple
-from urllib.parse import parse_qs
 
 import gevent
 import gevent.event
@@ -15,11 +14,10 @@
     create_front_application,
     create_front_server,
 )
-from quetzalwall.connection.http_server import create_server, json_answer
 from quetzalwall.connection.json_call import create_json_client
 from quetzalwall.exceptions import PeerError, SettingsError, StoreError
 from quetzalwall.logs import get_logger, log_event
-from quetzalwall.platform.headers import answer_facts, lookup_body, lookup_place
+from quetzalwall.platform.headers import answer_facts
 from quetzalwall.platform.rows import (
     ENDPOINTS_TABLE,
     INSTANCES_TABLE,
@@ -27,10 +25,12 @@
 )
 from quetzalwall.platform.settings import read_settings
 from quetzalwall.platform.store import create_store_client
+from quetzalwall.process.front_interfaces import create_interfaces
 from quetzalwall.process.front_metrics import create_front_metrics
 from quetzalwall.process.knowledge.endpoint_table import create_endpoint_table
-from quetzalwall.process.knowledge.fleet import PeerCard, create_fleet
+from quetzalwall.process.knowledge.fleet import create_fleet
 from quetzalwall.process.knowledge.knowledge import create_knowledge, read_exported
+from quetzalwall.process.knowledge.peer_report import PeerCard
 from quetzalwall.process.knowledge.store_watch import create_table_watch
 from quetzalwall.process.limits.cold_pacing import create_cold_pacing
 from quetzalwall.process.limits.retry_allowance import create_retry_allowance
@@ -38,15 +38,12 @@
 from quetzalwall.process.tasks import repeat
 from quetzalwall.request.choose import create_chooser
 from quetzalwall.request.estimate import create_durations
-from quetzalwall.request.lookup import draw_by_link
 from quetzalwall.request.serve import create_request_server
 
 __all__ = ["Front", "create_front", "run_front"]
 
 TICK_S = 0.5
 SETTINGS_PERIOD_S = 1.0
-LOOKUP_TTL_S = 2.0
-LOOKUP_ANSWERS = 3  # instances named; a caller needs another when one fails
 STORE_TIMEOUT_S = 1.2
 PEER_TIMEOUT_S = 0.8
 REGISTER_RETRY_S = 1.0
@@ -89,7 +86,7 @@
         self._settings_file = settings_file
         self._settings_seen = _modified(settings_file)
         self._clock = clock
-        self._rng = rng
+        self.rng = rng
         self._began_stop = None
         self._stopped = gevent.event.Event()
         now = clock.monotonic
@@ -136,15 +133,7 @@
         application = create_front_application(self._serve, lambda: self.stopping)
         self._servers = [
             create_front_server(listen.callers, application),
-            *(
-                create_server(*place, application)
-                for place, application in (
-                    (listen.health, self._health),
-                    (listen.lookup, self._lookup),
-                    (listen.peers, self._export),
-                    (listen.metrics, self._metrics),
-                )
-            ),
+            *create_interfaces(self),
         ]
         for server in self._servers:
             server.start()
@@ -248,57 +237,6 @@
             return 0.0
         return END_PART * self.settings.bounds.grace_s - stopping_s
 
-    def _health(self, environ, start_response):
-        if environ["PATH_INFO"] != "/ready":
-            return json_answer(start_response, 404, {"error": "no such path"})
-        ready = self.knowledge.ready() and not self.stopping
-        return json_answer(start_response, 200 if ready else 503, {"ready": ready})
-
-    def _lookup(self, environ, start_response):
-        _, region, domain = lookup_place(environ)
-        chosen = self._instances_for(region)
-        self.metrics.looked_up()
-        log_event(
-            LOG,
-            "lookup",
-            region=region or "none",
-            domain=domain or "none",
-            chosen=",".join(card.name for card in chosen),
-        )
-        if not chosen:
-            return json_answer(start_response, 503, {"error": "no instance is live"})
-        port = self.settings.listen.callers[1]
-        ttl_s = min(LOOKUP_TTL_S, self.settings.bounds.lookup_ttl_s)
-        body = lookup_body([(card.host, port) for card in chosen], ttl_s)
-        return json_answer(start_response, 200, body)
-
-    def _instances_for(self, region):
-        live = self.fleet.live()
-        near = [card for card in live if card.region == region] or live
-        return draw_by_link(near, LOOKUP_ANSWERS, self._rng)
-
-    def _export(self, environ, start_response):
-        table = environ["PATH_INFO"].removeprefix("/tables/")
-        text = parse_qs(environ["QUERY_STRING"]).get("after", ["0"])[0]
-        exported = None
-        if table in self._watches and text.isdigit():
-            exported = self.knowledge.export(table, int(text))
-        if exported is None:
-            return json_answer(start_response, 404, {"error": "not known here"})
-        return json_answer(start_response, 200, exported)
-
-    def _metrics(self, environ, start_response):
-        cfg = self.knowledge.configuration()
-        self.metrics.set_gauge("in_flight", self.in_flight)
-        self.metrics.set_gauge("instances_live", len(self.fleet.live()))
-        self.metrics.set_gauge("endpoints", len(self.endpoints))
-        self.metrics.set_gauge("config_version", cfg.version if cfg else 0)
-        raw = self.metrics.render()
-        kind = "text/plain; version=0.0.4; charset=utf-8"
-        headers = [("Content-Type", kind), ("Content-Length", str(len(raw)))]
-        start_response("200 OK", headers)
-        return [raw]
-
     def _ask_peer(self, table, after):
         """Return what another instance knows of a table, or None.
 
@@ -309,7 +247,7 @@
         if not places and not after:
             own = (self.settings.address, port)
             places = [place for place in self.settings.seeds if place != own]
-            self._rng.shuffle(places)
+            self.rng.shuffle(places)
         if not places:
             return None
         place = places[0]
--- a/quetzalwall/process/knowledge/fleet.py
+++ b/quetzalwall/process/knowledge/fleet.py
@@ -6,7 +6,6 @@
 
 import math
 from collections import deque
-from typing import NamedTuple
 
 import gevent
 import gevent.socket
@@ -14,8 +13,14 @@
 
 from quetzalwall.logs import get_logger, log_event
 from quetzalwall.process.knowledge.endpoint_table import endpoint_code
+from quetzalwall.process.knowledge.peer_report import (
+    Peer,
+    PeerReport,
+    decode_report,
+    encode_report,
+)
 
-__all__ = ["Fleet", "Peer", "PeerCard", "PeerReport", "create_fleet"]
+__all__ = ["Fleet", "create_fleet"]
 
 PERIOD_S = 0.1
 NEAR_PER_S = 60.0  # datagrams of one instance to its region; more peers hear less often
@@ -31,90 +36,6 @@
 LOG = get_logger("fleet")
 
 
-class PeerCard(NamedTuple):
-    """Who an instance is.
-
-    Attributes
-    ----------
-    name, region, domain : str
-        Name, region and failure domain.
-    host : str
-        IP number.
-    link_mbps : float
-        Rate of its link in Mbit/s.
-    """
-
-    name: str
-    region: str
-    domain: str
-    host: str
-    link_mbps: float = 1000.0
-
-
-class PeerReport(NamedTuple):
-    """One datagram.
-
-    Attributes
-    ----------
-    card : PeerCard
-        The sender.
-    process : int
-        Random number of the sender's process.
-    sequence : int
-        Grows with each datagram of this process.
-    leaving : bool
-        Whether it is about to stop.
-    reaches_store : bool
-        Whether the store answers it.
-    tables : dict of str to int
-        Version of the last change that it knows of each table.
-    open : list of (int, int)
-        Code of an endpoint, and requests of the sender open there.
-    slow : list of (int, int, int)
-        Code of an endpoint, its slowness in hundredths, and the report's age in ms.
-    held : list of (int, int)
-        Code of an endpoint, and of an object that it has served for the sender since
-        its last report.
-    """
-
-    card: PeerCard
-    process: int
-    sequence: int
-    leaving: bool
-    reaches_store: bool
-    tables: dict[str, int]
-    open: list[tuple[int, int]]
-    slow: list[tuple[int, int, int]]
-    held: list[tuple[int, int]]
-
-
-DECODER = msgspec.msgpack.Decoder(PeerReport)
-ENCODER = msgspec.msgpack.Encoder()
-
-
-class Peer:
-    """What is known of one other instance.
-
-    Parameters
-    ----------
-    card : PeerCard
-        Who it is.
-    """
-
-    def __init__(self, card):
-        self.card = card
-        self.process = None
-        self.former_process = None
-        self.sequence = -1
-        self.leaving = False
-        self.reaches_store = False
-        self.tables = {}
-        self.heard = -math.inf
-        self.open = {}
-        self.called = -math.inf
-        self.silent = True
-
-
 class Fleet:
     """The instances that this one knows.
 
@@ -382,7 +303,7 @@
         while True:
             raw, _ = self._sock.recvfrom(MOST_DATAGRAM_BYTES)
             try:
-                report = DECODER.decode(raw)
+                report = decode_report(raw)
             except msgspec.DecodeError as exc:
                 log_event(LOG, "bad-datagram", "warning", reason=str(exc))
                 continue
@@ -393,7 +314,7 @@
             now = self._monotonic()
             self.expire(now)
             for report, cards in self.due_reports(now):
-                raw = ENCODER.encode(report)
+                raw = encode_report(report)
                 for card in cards:
                     self._send(raw, card.host)
             gevent.sleep(PERIOD_S)
--- a/quetzalwall/process/knowledge/tests/test_knowledge.py
+++ b/quetzalwall/process/knowledge/tests/test_knowledge.py
@@ -8,8 +8,9 @@
     create_endpoint_table,
     endpoint_code,
 )
-from quetzalwall.process.knowledge.fleet import PeerCard, PeerReport, create_fleet
+from quetzalwall.process.knowledge.fleet import create_fleet
 from quetzalwall.process.knowledge.knowledge import create_knowledge, read_exported
+from quetzalwall.process.knowledge.peer_report import PeerCard, PeerReport
 from quetzalwall.tests.platform_fixtures import (
     DOMAINS,
     ManualClock,
--- a/quetzalwall/request/serve.py
+++ b/quetzalwall/request/serve.py
@@ -3,9 +3,14 @@
 from typing import NamedTuple
 
 import gevent
-import gevent.socket
 import xxhash
 
+from quetzalwall.connection.caller import (
+    CallerLeft,
+    is_closed,
+    read_body,
+    watch_caller,
+)
 from quetzalwall.connection.endpoint_client import Exchange
 from quetzalwall.connection.http_server import BadRequest
 from quetzalwall.exceptions import (
@@ -20,7 +25,7 @@
 from quetzalwall.request.estimate import least
 from quetzalwall.version.model import find_route
 
-__all__ = ["Answer", "CallerLeft", "RequestServer", "create_request_server"]
+__all__ = ["Answer", "RequestServer", "create_request_server"]
 
 DEFAULT_WAIT_S = 30.0  # for callers and routes that name no limit
 UNREADY_RETRY_S = 0.5
@@ -30,10 +35,6 @@
 LOG = get_logger("request")
 
 
-class CallerLeft(gevent.GreenletExit):
-    """The caller closed its connection while its request was served."""
-
-
 class Answer(NamedTuple):
     """An answer to a caller.
 
@@ -126,7 +127,7 @@
         self._limits.retries.note_request(req.service, req.arrived)
         watcher = None
         if req.route.idempotent and req.sock is not None:
-            watcher = gevent.spawn(_watch, req.sock, gevent.getcurrent())
+            watcher = gevent.spawn(watch_caller, req.sock, gevent.getcurrent())
         try:
             answer, outcome, state = self._run(req, taking_s)
         except CallerLeft:
@@ -160,7 +161,7 @@
                 version=cfg.version,
             )
             raise BadRequest(404, f"no route for {host}{path[:80]}")
-        body = _read_body(environ, cfg.limits.body_bytes)
+        body = read_body(environ, cfg.limits.body_bytes)
         limit_s = least(facts.wait_s, route.timeout_s)
         return _Request(
             facts=facts,
@@ -216,7 +217,7 @@
             return False
         if not isinstance(failure, NotRun) and not req.route.idempotent:
             return False
-        if req.sock is not None and _is_closed(req.sock):
+        if req.sock is not None and is_closed(req.sock):
             raise CallerLeft
         if isinstance(failure, NotConnected):
             return True
@@ -357,40 +358,6 @@
     return Answer(503, headers, f"not run: {reason}\n".encode())
 
 
-def _read_body(environ, most_bytes):
-    length = environ.get("CONTENT_LENGTH", "")
-    if length.isdigit() and int(length) > most_bytes:
-        raise BadRequest(413, f"body is longer than {most_bytes} bytes")
-    if not length and "HTTP_TRANSFER_ENCODING" not in environ:
-        return b""
-    try:
-        body = environ["wsgi.input"].read(most_bytes + 1)
-    except OSError as exc:
-        raise CallerLeft(str(exc)) from exc
-    if len(body) > most_bytes:
-        raise BadRequest(413, f"body is longer than {most_bytes} bytes")
-    return body
-
-
-def _watch(sock, server):
-    """Stop the serving task when its caller closes the connection."""
-    try:
-        gevent.socket.wait_read(sock.fileno())
-    except (OSError, ValueError):
-        return
-    if _is_closed(sock):
-        server.kill(CallerLeft, block=False)
-
-
-def _is_closed(sock):
-    try:
-        return not sock._sock.recv(1, gevent.socket.MSG_PEEK)
-    except BlockingIOError:
-        return False
-    except OSError:
-        return True
-
-
 def create_request_server(knowledge, chooser, durations, limits, metrics, monotonic):
     """Return the server of callers' requests.
 
--- /dev/null
+++ b/soak/tests/test_soak.py
@@ -0,0 +1,68 @@
+"""A short seeded soak, and each seed that once failed."""
+
+import time
+
+from nose2.tools import params
+
+from soak.checks import Attempt, Calm, find_breaches
+from soak.run import make_schedule, run_soak
+
+SECONDS = 10.0
+
+
+@params(1, 2)
+def test_promises_hold_under_faults(seed):
+    breaches, soak = run_soak(seed, SECONDS, fleet=3)
+    assert not breaches, (soak.schedule, breaches[:5])
+    assert sum(1 for a in soak.attempts if a.status == 200) > 200
+
+
+def test_a_schedule_can_be_played_again():
+    assert make_schedule(7, 30.0, 5) == make_schedule(7, 30.0, 5)
+    assert make_schedule(7, 30.0, 5) != make_schedule(8, 30.0, 5)
+
+
+class _Endpoint:
+    def __init__(self, **runs):
+        self.runs = runs
+
+
+def _attempt(status, kind="book", **fields):
+    now = time.monotonic()
+    values = {
+        "request_id": "r1",
+        "kind": kind,
+        "instance": 0,
+        "starts": 1,
+        "sent": now,
+        "ended": now + 1.0,
+        "status": status,
+        "request_echo": "r1",
+        "body": "ep-1 r1 0",
+        "planned": False,
+    }
+    return Attempt(**(values | fields))
+
+
+def _found(attempts, runs=None, calm=None):
+    endpoints = [_Endpoint(**(runs or {}))]
+    calm = calm or Calm([], [])
+    return {b.promise for b in find_breaches(attempts, endpoints, calm)}
+
+
+def test_checks_see_each_broken_promise():
+    assert _found([_attempt(200)], {"r1": 1}) == set()
+    assert _found([_attempt(200)], {"r1": 2}) == {"at most once"}
+    assert _found([_attempt(503)], {"r1": 1}) == {"not run"}
+    assert _found([_attempt(200, request_echo="r2")]) == {"own whole answer"}
+    assert _found([_attempt(200, body="ep-1 r2 0")]) == {"own whole answer"}
+    assert _found([_attempt(0, planned=True)]) == {"planned stop"}
+    old = _attempt(200, "v1")
+    new = _attempt(200, "v2", sent=old.sent - 5.0, ended=old.sent - 4.0)
+    assert _found([new, old]) == {"never back"}
+    due = Calm([(old.sent - 9.0, 2)], [])
+    assert _found([old], calm=due) == {"in force"}
+    late = _attempt(404, "v2")
+    assert _found([late], calm=due) == {"in force"}
+    away = Calm(due.versions, [(old.sent - 1.0, old.sent, -1)])
+    assert _found([late], calm=away) == set()
