--- a/quetzalwall/process/knowledge/store_watch.py
+++ b/quetzalwall/process/knowledge/store_watch.py
@@ -8,7 +8,7 @@
 
 __all__ = ["TableWatch", "create_table_watch"]
 
-FEED_WAIT_S = 1.5  # a silent connection is noticed within this and the call's limit
+FEED_WAIT_S = 2.5  # a silent connection is noticed within this and the call's limit
 PEER_PAUSE_S = 0.1  # between two looks at what peers know
 PAUSE_S = 0.25  # between two calls, so that one call brings several changes
 RETRY_FIRST_S = 0.2
