Never call not run what may have run; try a failed idempotent request elsewhere

Cause, found by reading: an idempotent request whose first attempt was lost and whose second was shed ended with 503, which promises that it has not run. The graver failure is now kept. A 5xx of an endpoint to an idempotent request is tried once more elsewhere within the budget, and counts as a failure of that endpoint; without budget or another endpoint it is passed on unchanged. 504 is said only once the time is over.

--- a/quetzalwall/process/tests/test_front.py
+++ b/quetzalwall/process/tests/test_front.py
@@ -99,6 +99,28 @@
             assert site.get("/look/1")[0] == 200
 
 
+def test_not_run_is_never_said_of_what_may_have_run():
+    with running_site() as site:
+        site.endpoints[0].behaviour["lose"] = True
+        site.endpoints[1].behaviour["shed"] = True
+        for _ in range(8):
+            status, _, _ = site.get("/look/1")
+            ran = sum(len(endpoint.runs) for endpoint in site.endpoints)
+            assert status == 502 or not ran, (status, ran)
+            site.endpoints[0].runs.clear()
+
+
+def test_a_failure_of_an_endpoint_is_passed_on_or_tried_elsewhere():
+    with running_site() as site:
+        site.endpoints[0].behaviour["error"] = True
+        for _ in range(6):
+            assert site.get("/look/1")[0] == 200
+        site.endpoints[1].behaviour["error"] = True
+        status, headers, _ = site.get("/book/1", method="POST")
+        assert status == 500 and "X-Quetzalwall-Server-Stamp" in headers
+        assert site.get("/look/1")[0] == 500
+
+
 def test_not_run_is_said_only_when_it_is_true():
     with running_site() as site:
         for endpoint in site.endpoints:
--- a/quetzalwall/request/serve.py
+++ b/quetzalwall/request/serve.py
@@ -15,9 +15,9 @@
 from quetzalwall.connection.http_server import BadRequest
 from quetzalwall.exceptions import (
     EndpointError,
+    IncompleteAnswer,
     NotConnected,
     NotRun,
-    OutcomeUnknown,
 )
 from quetzalwall.logs import get_logger, log_event
 from quetzalwall.platform.headers import caller_facts, endpoint_headers
@@ -30,6 +30,7 @@
 DEFAULT_WAIT_S = 30.0  # for callers and routes that name no limit
 UNREADY_RETRY_S = 0.5
 FAILED_RETRY_S = 0.2
+FIRST_FAILURE = 500  # status from which on an answer says that the endpoint failed
 STOPPING_RETRY_S = 0.05  # another instance can take it at once
 LEAST_USEFUL_S = 0.02  # with less left, another attempt can't be answered
 LOG = get_logger("request")
@@ -180,10 +181,11 @@
     def _run(self, req, taking_s):
         """Return the answer, the outcome and the endpoint that gave it."""
         tried = []
-        failure = None
+        failure = poor = None
         for attempt in range(1, req.route.attempts + 1):
             if attempt > 1 and not self._may_retry(req, failure):
                 break
+            last = attempt == req.route.attempts
             now = self._monotonic()
             choice = self._chooser.choose(
                 req.cfg,
@@ -205,11 +207,16 @@
             self._log_choice(req, choice, attempt, now)
             try:
                 answer = self._attempt(req, choice)
-                return answer, "answered", choice.state
             except EndpointError as exc:
-                failure = exc
+                failure = _graver(failure, exc)
                 self._log_failure(req, exc, choice)
-        return self._failed(failure)
+                continue
+            poor = answer, "answered", choice.state
+            if last or not req.route.idempotent or answer.status < FIRST_FAILURE:
+                return poor
+            failure = IncompleteAnswer(f"status {answer.status}", "answer", tried[-1])
+            self._log_failure(req, failure, choice)
+        return poor or self._failed(req, failure)
 
     def _may_retry(self, req, failure):
         now = self._monotonic()
@@ -264,7 +271,10 @@
         if facts.not_run:
             state.note_shed(now)
             raise NotRun(f"status {answer.status}", "endpoint", state.name)
-        state.note_success()
+        if answer.status >= FIRST_FAILURE:
+            state.note_failure(now)
+        else:
+            state.note_success()
         if req.object_key is not None:
             state.note_held(req.object_key)
             self._knowledge.fleet.note_held(state.name, req.object_key)
@@ -274,10 +284,10 @@
             self._durations.note_work(req.route, req.service, choice.held, seconds)
         return Answer(answer.status, facts.headers, answer.body)
 
-    def _failed(self, failure):
+    def _failed(self, req, failure):
         if isinstance(failure, NotRun):
             return _refusal(FAILED_RETRY_S, failure.message), "not-run", None
-        status = 504 if isinstance(failure, OutcomeUnknown) else 502
+        status = 504 if self._monotonic() >= req.deadline else 502
         body = f"{failure.step}: {failure.message}\n".encode()
         return Answer(status, [("Content-Type", "text/plain")], body), "unknown", None
 
@@ -346,6 +356,13 @@
         )
 
 
+def _graver(failure, exc):
+    """Return the failure that leaves more open; what may have run is not "not run"."""
+    if failure is None or isinstance(failure, NotRun):
+        return exc
+    return failure
+
+
 def _object_key(route, facts):
     # What an endpoint keeps of an object serves the requests of one route only.
     if not route.sticky or not facts.object_key:
--- a/standins/served_endpoint.py
+++ b/standins/served_endpoint.py
@@ -4,7 +4,8 @@
 queue, and counts how often each request ran. ``behaviour`` holds what it does wrong:
 ``shed`` (refuse all), ``hang`` (never answer), ``cut`` (end in the middle of the body),
 ``extra`` (a second answer after each), ``early`` (answer before the body is read),
-``lose`` (run, then reset), ``other`` (expect another identity) and ``slow_s``.
+``lose`` (run, then reset), ``error`` (run, then answer 500),
+``other`` (expect another identity) and ``slow_s``.
 """
 
 import re
@@ -122,6 +123,9 @@
             return False
         text = f"{self.name} {request_id} {len(body)}\n".encode()
         load = f"{self._open},0,{self.slots},100"
+        if self.behaviour.get("error"):
+            _answer(sock, 500, text, request_id, load)
+            return True
         if self.behaviour.get("cut"):
             _answer(sock, 200, text, request_id, load, longer=20)
             return False
