Forgive silence after a pause of one's own

Cause, found by reading: an instance that was frozen or suspended for seconds took all others for silent when it woke, since their last reports were as old as its pause, and its look-ups named itself alone until the next reports. The test failed before.

--- a/quetzalwall/process/knowledge/fleet.py
+++ b/quetzalwall/process/knowledge/fleet.py
@@ -29,6 +29,7 @@
 ALL_READ = 8  # instances up to which each follows the store itself
 SILENT_AFTER_S = 1.5
 SILENT_PERIODS = 6
+OWN_PAUSE_S = 1.0  # between two looks, after which silence says nothing
 FORGET_AFTER_S = 30.0
 MOST_HELD = 200  # objects named in one report
 MOST_DATAGRAM_BYTES = 60_000
@@ -63,6 +64,7 @@
         self._monotonic = monotonic
         self._process = process
         self._sequence = 0
+        self._looked = None
         self._audiences = (_Audience(near=True), _Audience(near=False))
         self._peers = {}
         self._tasks = []
@@ -267,6 +269,13 @@
         now : float
             Monotonic seconds.
         """
+        looked, self._looked = self._looked, now
+        if looked is not None and now - looked > OWN_PAUSE_S:
+            # This instance was paused itself, and has heard nobody meanwhile.
+            for peer in self._peers.values():
+                if not peer.silent:
+                    peer.heard = now
+            return
         limits_s = {
             audience.near: max(
                 SILENT_AFTER_S, SILENT_PERIODS * self._period_s(audience)
--- a/quetzalwall/process/knowledge/tests/test_knowledge.py
+++ b/quetzalwall/process/knowledge/tests/test_knowledge.py
@@ -202,6 +202,20 @@
     assert [card.name for card in knowledge.fleet.live()] == ["one"]
 
 
+def test_after_a_pause_of_its_own_an_instance_takes_nobody_for_silent():
+    knowledge, clock = create()
+    fleet = knowledge.fleet
+    fleet.receive(report(), clock.now)
+    fleet.expire(clock.now)
+    clock.now += 5.0
+    fleet.expire(clock.now)
+    assert len(fleet.live()) == 2
+    for _ in range(20):
+        clock.now += 0.1
+        fleet.expire(clock.now)
+    assert len(fleet.live()) == 1
+
+
 def test_late_reports_change_nothing_also_after_a_restart():
     knowledge, clock = create()
     register(knowledge, "ep-1", 1)
