--- a/benchmarks/cases/decision_time.py
+++ b/benchmarks/cases/decision_time.py
@@ -5,8 +5,8 @@
 import time
 
 from benchmarks.rows import make_row
-from quetzalwall.process.ledger import Ledger
-from quetzalwall.process.steering import create_steering
+from quetzalwall.process.placing.steering import create_steering
+from quetzalwall.process.sharing.ledger import Ledger
 from quetzalwall.request.classify import RequestFacts, classify
 from quetzalwall.request.work import Grant
 from quetzalwall.version.shares import slot_totals
--- a/benchmarks/cases/links.py
+++ b/benchmarks/cases/links.py
@@ -5,8 +5,8 @@
 from benchmarks.deployments import DEPLOYMENTS, load_cfg
 from benchmarks.rows import make_row
 from quetzalwall.clock import Clock
-from quetzalwall.process.endpoint_directory import LinkMeter
-from quetzalwall.process.ledger import Ledger
+from quetzalwall.process.placing.endpoint_directory import LinkMeter
+from quetzalwall.process.sharing.ledger import Ledger
 from quetzalwall.version.shares import divide_slots, link_key
 
 __all__ = ["run"]
--- a/benchmarks/cases/membership.py
+++ b/benchmarks/cases/membership.py
@@ -4,7 +4,7 @@
 
 from benchmarks.membership_ways import WAYS
 from benchmarks.rows import make_row
-from quetzalwall.process.membership import HEARTBEAT_S
+from quetzalwall.process.membership.membership import HEARTBEAT_S
 
 __all__ = ["run"]
 
--- a/benchmarks/cases/stragglers.py
+++ b/benchmarks/cases/stragglers.py
@@ -4,7 +4,7 @@
 from benchmarks.grid import BASELINES, OURS, Variant, run_grid
 from benchmarks.load_driver import Stream, run_driver
 from benchmarks.rows import make_row, quantile
-from quetzalwall.process.loads import record_report
+from quetzalwall.process.placing.loads import record_report
 
 __all__ = ["run"]
 
--- a/benchmarks/driver_loans.py
+++ b/benchmarks/driver_loans.py
@@ -1,21 +1,21 @@
 """Loans between the instances of the seeded load driver."""
 
 from benchmarks.driver_types import LOCAL_S, REMOTE_S
-from quetzalwall.process.lending import (
+from quetzalwall.process.membership.peers import (
+    LEAST_PAUSE_S,
+    LOAN_TICK_S,
+    REFUSED_PAUSE_S,
+    REMOTE_PAUSE_FACTOR,
+)
+from quetzalwall.process.sharing.lending import (
     Wish,
     loans_to_return,
     may_extend,
     units_to_lend,
     wishes,
 )
-from quetzalwall.process.loan import Loan
-from quetzalwall.process.peers import (
-    LEAST_PAUSE_S,
-    LOAN_TICK_S,
-    REFUSED_PAUSE_S,
-    REMOTE_PAUSE_FACTOR,
-)
-from quetzalwall.process.rights import loan_ttl_s
+from quetzalwall.process.sharing.loan import Loan
+from quetzalwall.process.sharing.rights import loan_ttl_s
 
 __all__ = ["LoanMessages"]
 
--- a/benchmarks/load_driver.py
+++ b/benchmarks/load_driver.py
@@ -18,9 +18,9 @@
     Result,
     Stream,
 )
-from quetzalwall.process.ledger import Ledger
-from quetzalwall.process.peers import LOAN_TICK_S
-from quetzalwall.process.steering import create_steering, hold_limits
+from quetzalwall.process.membership.peers import LOAN_TICK_S
+from quetzalwall.process.placing.steering import create_steering, hold_limits
+from quetzalwall.process.sharing.ledger import Ledger
 from quetzalwall.request.classify import RequestFacts, classify
 from quetzalwall.request.work import Grant
 from quetzalwall.version.shares import divide_slots, slot_totals
--- a/benchmarks/membership_ways.py
+++ b/benchmarks/membership_ways.py
@@ -2,7 +2,11 @@
 
 import random
 
-from quetzalwall.process.membership import DEAD, HEARTBEAT_S, create_membership
+from quetzalwall.process.membership.membership import (
+    DEAD,
+    HEARTBEAT_S,
+    create_membership,
+)
 
 __all__ = ["ListOnly", "RandomProbes", "Ring", "WAYS"]
 
--- a/benchmarks/platform_load.py
+++ b/benchmarks/platform_load.py
@@ -251,6 +251,7 @@
             seconds = req.work / req.choice.slowness
             durations = req.instance.durations
             durations.note_work(self.route, SERVICE, req.choice.held, seconds)
+            durations.note_depth(self.route, SERVICE, req.choice.depth, seconds)
 
     def time_out(self, req):
         if req.work is None:
--- a/quetzalwall/__init__.py
+++ b/quetzalwall/__init__.py
@@ -2,7 +2,7 @@
 
 The packages follow the life span of what they hold: `request` for one request,
 `connection` for one connection, `version` for one version of the configuration,
-and `process` for the whole run of an entry instance. `platform` holds the clients
+and `process` for the whole run of an instance. `platform` holds the clients
 of the platform's services, and `cli` the command line.
 """
 
--- a/quetzalwall/process/app.py
+++ b/quetzalwall/process/app.py
@@ -6,7 +6,10 @@
 from quetzalwall.connection.http_server import BadRequest, json_answer, read_json
 from quetzalwall.exceptions import BodyTooLong, CallerError, PeerError
 from quetzalwall.logs import get_logger, log_event
-from quetzalwall.process.peer_messages import parse_heartbeat, parse_loan_request
+from quetzalwall.process.membership.peer_messages import (
+    parse_heartbeat,
+    parse_loan_request,
+)
 from quetzalwall.request.answers import OUTCOME_HEADER, status_line
 from quetzalwall.request.lookup import order_members
 
--- a/quetzalwall/process/entry.py
+++ b/quetzalwall/process/entry.py
@@ -12,15 +12,15 @@
 from quetzalwall.platform.objects import create_object_client
 from quetzalwall.platform.table import create_table_client
 from quetzalwall.process.app import create_application
-from quetzalwall.process.membership import LEAVING
+from quetzalwall.process.membership.membership import LEAVING
+from quetzalwall.process.membership.peers import create_peers
 from quetzalwall.process.node import create_node
-from quetzalwall.process.operators import create_operators
-from quetzalwall.process.peers import create_peers
-from quetzalwall.process.startup import find_configuration
 from quetzalwall.process.status import instance_status, set_gauges
-from quetzalwall.process.store_tasks import create_store_tasks
+from quetzalwall.process.storage.operators import create_operators
+from quetzalwall.process.storage.startup import find_configuration
+from quetzalwall.process.storage.store_tasks import create_store_tasks
+from quetzalwall.process.storage.write_batcher import create_write_batcher
 from quetzalwall.process.tasks import repeat
-from quetzalwall.process.write_batcher import create_write_batcher
 from quetzalwall.request.claim import create_claims
 from quetzalwall.request.forward import create_forwarder
 
--- a/quetzalwall/process/knowledge/endpoint_state.py
+++ b/quetzalwall/process/knowledge/endpoint_state.py
@@ -11,7 +11,7 @@
 AVOID_FIRST_S = 0.5
 AVOID_MOST_S = 4.0
 FAILURES_TO_AVOID = 2
-OBJECTS_KEPT = 24  # that an endpoint surely still holds after serving them last
+MOST_OBJECTS = 64  # remembered of an endpoint; how many it holds is learned
 COLD_MARGIN_S = 0.5  # the endpoint may count a little longer
 SHED_AVOID_S = 0.15  # a full endpoint frees a slot about as often
 
@@ -173,19 +173,23 @@
             return None
         return self._slowness, self._slowness_at
 
-    def holds(self, object_key):
-        """Return whether it served an object not long ago.
+    def depth(self, object_key):
+        """Return how many objects it has served since it last served one.
 
         Parameters
         ----------
-        object_key : int
+        object_key : int or None
             Code of the object.
 
         Returns
         -------
-        bool
+        int or None
+            None if it has not served it, as far as is remembered.
         """
-        return object_key in self._objects
+        if object_key not in self._objects:
+            return None
+        later = reversed(self._objects)
+        return next(count for count, key in enumerate(later) if key == object_key)
 
     def untried(self):
         """Return whether it has served no object yet, as far as is known.
@@ -206,7 +210,7 @@
         """
         self._objects[object_key] = True
         self._objects.move_to_end(object_key)
-        if len(self._objects) > OBJECTS_KEPT:
+        if len(self._objects) > MOST_OBJECTS:
             self._objects.popitem(last=False)
 
     def note_success(self):
--- a/quetzalwall/process/knowledge/tests/test_knowledge.py
+++ b/quetzalwall/process/knowledge/tests/test_knowledge.py
@@ -144,7 +144,7 @@
     first.note_held(5)
     register(knowledge, "ep-1", 2, born=2000, coldLeft="3s")
     second = knowledge.endpoints.get("ep-1")
-    assert second is not first and not second.holds(5)
+    assert second is not first and second.depth(5) is None
     assert second.cold(1001.0) and not first.usable()
 
 
@@ -261,7 +261,7 @@
     knowledge, clock = create()
     register(knowledge, "ep-1", 1)
     knowledge.fleet.receive(report(held=[(endpoint_code("ep-1"), 77)]), clock.now)
-    assert knowledge.endpoints.get("ep-1").holds(77)
+    assert knowledge.endpoints.get("ep-1").depth(77) == 0
 
 
 def test_a_report_survives_the_way():
--- /dev/null
+++ b/quetzalwall/process/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Who is live, and messages between instances."""
--- a/quetzalwall/process/membership.py
+++ b/quetzalwall/process/membership/membership.py
@@ -13,7 +13,7 @@
 
 from typing import NamedTuple
 
-from quetzalwall.process.ring import ring_order, successors
+from quetzalwall.process.membership.ring import ring_order, successors
 
 __all__ = ["DEAD", "LEAVING", "LIVE", "MemberState", "Membership", "create_membership"]
 
--- a/quetzalwall/process/peers.py
+++ b/quetzalwall/process/membership/peers.py
@@ -9,11 +9,11 @@
 from quetzalwall.connection.json_call import create_json_client
 from quetzalwall.exceptions import PeerError, SettingsError
 from quetzalwall.logs import get_logger, log_event
-from quetzalwall.process.config_keeper import import_configuration
-from quetzalwall.process.ledger import Loan
-from quetzalwall.process.lending import loans_to_return, wishes
-from quetzalwall.process.membership import HEARTBEAT_S
-from quetzalwall.process.peer_messages import parse_heartbeat
+from quetzalwall.process.membership.membership import HEARTBEAT_S
+from quetzalwall.process.membership.peer_messages import parse_heartbeat
+from quetzalwall.process.sharing.ledger import Loan
+from quetzalwall.process.sharing.lending import loans_to_return, wishes
+from quetzalwall.process.storage.config_keeper import import_configuration
 from quetzalwall.process.tasks import repeat
 
 __all__ = ["Peers", "create_peers"]
--- a/quetzalwall/process/node.py
+++ b/quetzalwall/process/node.py
@@ -5,18 +5,18 @@
 
 from quetzalwall.exceptions import PeerError
 from quetzalwall.logs import get_logger, log_event
-from quetzalwall.process.admission import create_admission
-from quetzalwall.process.config_keeper import create_config_keeper
-from quetzalwall.process.endpoint_directory import create_endpoint_directory
-from quetzalwall.process.holders import create_holders
-from quetzalwall.process.ledger import Ledger
-from quetzalwall.process.lending import Wish, may_extend, units_to_lend
-from quetzalwall.process.membership import DEAD, create_membership
+from quetzalwall.process.membership.membership import DEAD, create_membership
+from quetzalwall.process.membership.peer_messages import Heartbeat
 from quetzalwall.process.metrics import create_metrics
-from quetzalwall.process.peer_messages import Heartbeat
-from quetzalwall.process.rights import RESERVE_S, loan_ttl_s
-from quetzalwall.process.share_keeper import create_share_keeper
-from quetzalwall.process.steering import hold_limits
+from quetzalwall.process.placing.admission import create_admission
+from quetzalwall.process.placing.endpoint_directory import create_endpoint_directory
+from quetzalwall.process.placing.steering import hold_limits
+from quetzalwall.process.sharing.holders import create_holders
+from quetzalwall.process.sharing.ledger import Ledger
+from quetzalwall.process.sharing.lending import Wish, may_extend, units_to_lend
+from quetzalwall.process.sharing.rights import RESERVE_S, loan_ttl_s
+from quetzalwall.process.sharing.share_keeper import create_share_keeper
+from quetzalwall.process.storage.config_keeper import create_config_keeper
 from quetzalwall.request.lookup import Member
 
 __all__ = ["Node", "create_node"]
--- /dev/null
+++ b/quetzalwall/process/placing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of a slot for a request, from what is known of endpoints."""
--- a/quetzalwall/process/admission.py
+++ b/quetzalwall/process/placing/admission.py
@@ -8,7 +8,7 @@
 
 from quetzalwall.exceptions import NotRun
 from quetzalwall.logs import get_logger, log_event
-from quetzalwall.process.steering import create_steering
+from quetzalwall.process.placing.steering import create_steering
 from quetzalwall.process.tasks import repeat
 from quetzalwall.request.work import Grant
 
--- a/quetzalwall/process/placement.py
+++ b/quetzalwall/process/placing/placement.py
@@ -1,14 +1,18 @@
 """Choose a region, an endpoint and a slot for one request."""
 
-from quetzalwall.process.loads import (
+from quetzalwall.process.placing.loads import (
     FIRST_PENALTY_S,
     SLOW_RATIO,
     expected_s,
     is_slow,
     record_start,
 )
-from quetzalwall.process.service_state import group_name
-from quetzalwall.process.shift_rules import count_move, shift_between, shift_for
+from quetzalwall.process.placing.service_state import group_name
+from quetzalwall.process.shifting.shift_rules import (
+    count_move,
+    shift_between,
+    shift_for,
+)
 from quetzalwall.request.work import Grant
 from quetzalwall.version.shares import LONG, SHORT
 
--- a/quetzalwall/process/service_state.py
+++ b/quetzalwall/process/placing/service_state.py
@@ -1,7 +1,7 @@
 """What an instance holds for one service: its queues and observations."""
 
-from quetzalwall.process.indexed_set import IndexedSet
-from quetzalwall.process.loads import create_load, typical_s
+from quetzalwall.process.placing.loads import create_load, typical_s
+from quetzalwall.process.sharing.indexed_set import IndexedSet
 from quetzalwall.request.policies import create_policy
 from quetzalwall.request.quantile import RunningQuantile
 from quetzalwall.request.retry_budget import RetryBudget
--- a/quetzalwall/process/steering.py
+++ b/quetzalwall/process/placing/steering.py
@@ -4,12 +4,12 @@
 and source of randomness. Nothing here waits or sends.
 """
 
-from quetzalwall.process.ledger import Ledger
-from quetzalwall.process.loads import record_end, record_failure
-from quetzalwall.process.placement import SAMPLE, choose, index_slow, take
-from quetzalwall.process.service_state import ServiceState
-from quetzalwall.process.shift import create_shift_progress
-from quetzalwall.process.shift_rules import step_shift
+from quetzalwall.process.placing.loads import record_end, record_failure
+from quetzalwall.process.placing.placement import SAMPLE, choose, index_slow, take
+from quetzalwall.process.placing.service_state import ServiceState
+from quetzalwall.process.sharing.ledger import Ledger
+from quetzalwall.process.shifting.shift import create_shift_progress
+from quetzalwall.process.shifting.shift_rules import step_shift
 from quetzalwall.request.work import Shed
 from quetzalwall.version.shares import LONG, SHORT
 
--- /dev/null
+++ b/quetzalwall/process/sharing/__init__.py
@@ -0,0 +1,1 @@
+"""Division of slots between instances: ledger, loans, holders, leases."""
--- a/quetzalwall/process/holders.py
+++ b/quetzalwall/process/sharing/holders.py
@@ -12,9 +12,9 @@
 gives the argument that two processes never use one share.
 """
 
-from quetzalwall.process.holders_record import HoldersRecord, without
-from quetzalwall.process.ledger import CLOCK_RATE_MARGIN, LOAN_MARGIN_S
-from quetzalwall.process.rights import LEASE_S, RESERVE_S, wait_after_s
+from quetzalwall.process.sharing.holders_record import HoldersRecord, without
+from quetzalwall.process.sharing.ledger import CLOCK_RATE_MARGIN, LOAN_MARGIN_S
+from quetzalwall.process.sharing.rights import LEASE_S, RESERVE_S, wait_after_s
 
 __all__ = ["HOLDERS_KEY", "Holders", "create_holders"]
 
--- a/quetzalwall/process/holders_record.py
+++ b/quetzalwall/process/sharing/holders_record.py
@@ -1,6 +1,6 @@
 """The row of the table that records holders of shares and running processes."""
 
-from quetzalwall.process.ring import ring_order, successors
+from quetzalwall.process.membership.ring import ring_order, successors
 
 __all__ = ["HoldersRecord", "without"]
 
--- a/quetzalwall/process/ledger.py
+++ b/quetzalwall/process/sharing/ledger.py
@@ -11,8 +11,8 @@
 - without a valid lease only the reserve counts, which no other instance takes over.
 """
 
-from quetzalwall.process.indexed_set import IndexedSet
-from quetzalwall.process.loan import Loan
+from quetzalwall.process.sharing.indexed_set import IndexedSet
+from quetzalwall.process.sharing.loan import Loan
 
 __all__ = ["LOAN_MARGIN_S", "Ledger", "Loan"]
 
--- a/quetzalwall/process/lending.py
+++ b/quetzalwall/process/sharing/lending.py
@@ -7,7 +7,7 @@
 import math
 from typing import NamedTuple
 
-from quetzalwall.process.service_state import group_name
+from quetzalwall.process.placing.service_state import group_name
 from quetzalwall.version.shares import LONG, SHORT
 
 __all__ = [
--- a/quetzalwall/process/rights.py
+++ b/quetzalwall/process/sharing/rights.py
@@ -1,6 +1,6 @@
 """How long rights to units last, and how long to wait until they have run out."""
 
-from quetzalwall.process.ledger import CLOCK_RATE_MARGIN, LOAN_MARGIN_S
+from quetzalwall.process.sharing.ledger import CLOCK_RATE_MARGIN, LOAN_MARGIN_S
 
 __all__ = ["LEASE_S", "RESERVE_S", "loan_ttl_s", "wait_after_s"]
 
--- a/quetzalwall/process/share_keeper.py
+++ b/quetzalwall/process/sharing/share_keeper.py
@@ -5,7 +5,7 @@
 everybody has confirmed to have decreased.
 """
 
-from quetzalwall.process.rights import RESERVE_S, wait_after_s
+from quetzalwall.process.sharing.rights import RESERVE_S, wait_after_s
 from quetzalwall.version.shares import Share, divide_slots
 
 __all__ = ["ShareKeeper", "create_share_keeper"]
--- /dev/null
+++ b/quetzalwall/process/shifting/__init__.py
@@ -0,0 +1,1 @@
+"""Planned moves of traffic between regions, under a cap."""
--- a/quetzalwall/process/shift_rules.py
+++ b/quetzalwall/process/shifting/shift_rules.py
@@ -1,6 +1,6 @@
 """Which requests a shift moves, and how it adapts."""
 
-from quetzalwall.process.service_state import group_name
+from quetzalwall.process.placing.service_state import group_name
 from quetzalwall.version.shares import SHORT
 
 __all__ = ["count_move", "shift_between", "shift_for", "step_shift"]
--- a/quetzalwall/process/snapshots.py
+++ b/quetzalwall/process/storage/snapshots.py
@@ -6,7 +6,7 @@
 
 from quetzalwall.exceptions import SettingsError, StoreError
 from quetzalwall.logs import get_logger, log_event
-from quetzalwall.process.config_keeper import (
+from quetzalwall.process.storage.config_keeper import (
     export_configuration,
     import_configuration,
 )
--- a/quetzalwall/process/startup.py
+++ b/quetzalwall/process/storage/startup.py
@@ -5,8 +5,11 @@
 from quetzalwall.connection.json_call import create_json_client
 from quetzalwall.exceptions import PeerError, SettingsError, StoreError
 from quetzalwall.logs import get_logger, log_event
-from quetzalwall.process.config_keeper import HOLDERS_NEEDED, import_configuration
-from quetzalwall.process.snapshots import read_snapshot
+from quetzalwall.process.storage.config_keeper import (
+    HOLDERS_NEEDED,
+    import_configuration,
+)
+from quetzalwall.process.storage.snapshots import read_snapshot
 from quetzalwall.version.settings_store import read_configuration
 
 __all__ = ["find_configuration"]
--- a/quetzalwall/process/store_tasks.py
+++ b/quetzalwall/process/storage/store_tasks.py
@@ -5,9 +5,9 @@
 from quetzalwall.exceptions import PeerError, StoreError
 from quetzalwall.logs import get_logger, log_event
 from quetzalwall.platform.table import Row
-from quetzalwall.process.holders import HOLDERS_KEY
-from quetzalwall.process.rights import LEASE_S
-from quetzalwall.process.snapshots import write_snapshot
+from quetzalwall.process.sharing.holders import HOLDERS_KEY
+from quetzalwall.process.sharing.rights import LEASE_S
+from quetzalwall.process.storage.snapshots import write_snapshot
 from quetzalwall.process.tasks import repeat
 from quetzalwall.version.settings_store import read_configuration, read_head
 
--- a/quetzalwall/process/tests/test_config_keeper.py
+++ b/quetzalwall/process/tests/test_config_keeper.py
@@ -2,12 +2,12 @@
 import random
 
 from quetzalwall.exceptions import SettingsError
-from quetzalwall.process.config_keeper import (
+from quetzalwall.process.storage.config_keeper import (
     create_config_keeper,
     export_configuration,
     import_configuration,
 )
-from quetzalwall.process.snapshots import read_snapshot, write_snapshot
+from quetzalwall.process.storage.snapshots import read_snapshot, write_snapshot
 from quetzalwall.tests.fixtures import make_tree, objects_of, running_platform
 from quetzalwall.version.tree import create_configuration
 
--- a/quetzalwall/process/tests/test_holders.py
+++ b/quetzalwall/process/tests/test_holders.py
@@ -2,9 +2,9 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from quetzalwall.process.holders import create_holders
-from quetzalwall.process.ledger import LOAN_MARGIN_S
-from quetzalwall.process.rights import LEASE_S, wait_after_s
+from quetzalwall.process.sharing.holders import create_holders
+from quetzalwall.process.sharing.ledger import LOAN_MARGIN_S
+from quetzalwall.process.sharing.rights import LEASE_S, wait_after_s
 
 ROSTER = {f"i{n}": {"region": "r", "domain": f"d{n}"} for n in range(3)}
 NAMES = st.sampled_from(sorted(ROSTER))
--- a/quetzalwall/process/tests/test_ledger.py
+++ b/quetzalwall/process/tests/test_ledger.py
@@ -2,7 +2,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from quetzalwall.process.ledger import Ledger, Loan
+from quetzalwall.process.sharing.ledger import Ledger, Loan
 
 KEY = "ep/short"
 TOTAL = 9
--- a/quetzalwall/process/tests/test_lending.py
+++ b/quetzalwall/process/tests/test_lending.py
@@ -1,8 +1,13 @@
 import random
 
-from quetzalwall.process.ledger import Ledger, Loan
-from quetzalwall.process.lending import Wish, loans_to_return, units_to_lend, wishes
-from quetzalwall.process.steering import create_steering
+from quetzalwall.process.placing.steering import create_steering
+from quetzalwall.process.sharing.ledger import Ledger, Loan
+from quetzalwall.process.sharing.lending import (
+    Wish,
+    loans_to_return,
+    units_to_lend,
+    wishes,
+)
 from quetzalwall.tests.fixtures import make_tree
 from quetzalwall.version.tree import merge_tree
 
--- a/quetzalwall/process/tests/test_membership.py
+++ b/quetzalwall/process/tests/test_membership.py
@@ -1,4 +1,4 @@
-from quetzalwall.process.membership import (
+from quetzalwall.process.membership.membership import (
     DEAD,
     HEARTBEAT_S,
     LEAVING,
--- a/quetzalwall/process/tests/test_outages.py
+++ b/quetzalwall/process/tests/test_outages.py
@@ -5,7 +5,7 @@
 import gevent
 
 from quetzalwall.exceptions import PeerError
-from quetzalwall.process.rights import LEASE_S
+from quetzalwall.process.sharing.rights import LEASE_S
 from quetzalwall.process.tests.test_entry import runs, send, wait_version
 from quetzalwall.tests.fixtures import small_deployment
 
--- a/quetzalwall/process/tests/test_share_keeper.py
+++ b/quetzalwall/process/tests/test_share_keeper.py
@@ -1,10 +1,10 @@
 import copy
 
-from quetzalwall.process.holders import create_holders
-from quetzalwall.process.ledger import Ledger
-from quetzalwall.process.rights import wait_after_s
-from quetzalwall.process.share_keeper import create_share_keeper
-from quetzalwall.process.steering import hold_limits
+from quetzalwall.process.placing.steering import hold_limits
+from quetzalwall.process.sharing.holders import create_holders
+from quetzalwall.process.sharing.ledger import Ledger
+from quetzalwall.process.sharing.rights import wait_after_s
+from quetzalwall.process.sharing.share_keeper import create_share_keeper
 from quetzalwall.tests.fixtures import make_tree
 from quetzalwall.version.tree import create_configuration
 
--- a/quetzalwall/process/tests/test_steering.py
+++ b/quetzalwall/process/tests/test_steering.py
@@ -3,9 +3,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from quetzalwall.process.ledger import Ledger
-from quetzalwall.process.loads import record_failure
-from quetzalwall.process.steering import create_steering
+from quetzalwall.process.placing.loads import record_failure
+from quetzalwall.process.placing.steering import create_steering
+from quetzalwall.process.sharing.ledger import Ledger
 from quetzalwall.request.classify import RequestFacts, classify
 from quetzalwall.request.work import Grant, Shed
 from quetzalwall.tests.fixtures import make_tree
--- a/quetzalwall/request/choose.py
+++ b/quetzalwall/request/choose.py
@@ -36,7 +36,9 @@
     rank : int
         Its rank for the object.
     held : bool
-        Whether it has served the object lately.
+        Whether it should still hold the object.
+    depth : int or None
+        Objects that it has served since it last served this one.
     expected_s : float
         Seconds until the answer.
     wait_s : float
@@ -50,6 +52,7 @@
     state: object
     rank: int
     held: bool
+    depth: int | None
     expected_s: float
     wait_s: float
     slowness: float
@@ -131,7 +134,8 @@
         best, best_key = None, None
         for state in candidates:
             rank = order.get(state.name, HOLDERS)
-            held = object_key is not None and state.holds(object_key)
+            depth = state.depth(object_key)
+            held = self._durations.holds(service, depth)
             slowness = state.slowness(now)
             if state.cold(now):
                 slowness *= COLD_RATIO
@@ -158,6 +162,7 @@
                     state,
                     rank,
                     held,
+                    depth,
                     expected_s,
                     queue_s,
                     slowness,
--- a/quetzalwall/request/estimate.py
+++ b/quetzalwall/request/estimate.py
@@ -8,6 +8,10 @@
 FAR_S = 0.07  # round trip to another region until one has been measured
 NEAR_S = 0.002
 MOST_RATIO = 3.0  # a longer answer counts as this much; few take many times as long
+FIRST_KEPT = 24.0  # objects that an endpoint holds, until more is known
+LEAST_KEPT = 4.0
+KEPT_WEIGHT = 0.2  # of one answer in the number of objects held
+QUICK_PART = 0.6  # of the work on an unheld object; held ones take a third
 LEAST_PART = 0.4  # of the mean duration; few requests take less
 HELD_PART = 0.5  # of a first guess, that an endpoint with the object takes
 
@@ -25,6 +29,7 @@
         self._region = region
         self._work = {}
         self._counts = {}
+        self._kept = {}
         self._hold = {}
         self._distance = {}
 
@@ -65,6 +70,61 @@
         """
         return LEAST_PART * self._work.get((route.name, held), 0.0)
 
+    def holds(self, service, depth):
+        """Return whether an endpoint should still hold an object.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        depth : int or None
+            Objects that it has served since; None if it has not served this one.
+
+        Returns
+        -------
+        bool
+        """
+        return depth is not None and depth < self.kept(service)
+
+    def kept(self, service):
+        """Return how many objects an endpoint of a service holds, as learned.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+
+        Returns
+        -------
+        float
+        """
+        return self._kept.get(service, FIRST_KEPT)
+
+    def note_depth(self, route, service, depth, seconds):
+        """Learn from an answer how many objects an endpoint holds.
+
+        Parameters
+        ----------
+        route : Route
+            The route.
+        service : str
+            Service that ran the request.
+        depth : int or None
+            Objects that the endpoint had served since it last served this one.
+        seconds : float
+            Work, at usual speed.
+        """
+        unheld_s = self._work.get((route.name, False))
+        if depth is None or unheld_s is None:
+            return
+        kept = self.kept(service)
+        quick = seconds < QUICK_PART * unheld_s
+        if quick and depth >= kept:
+            kept += KEPT_WEIGHT * (depth + 1 - kept)
+        elif not quick and kept / 2 < depth < kept:
+            kept += KEPT_WEIGHT * (depth - kept)
+        self._kept[service] = max(LEAST_KEPT, kept)
+
     def hold_s(self, service):
         """Return how long a request of a service holds a slot.
 
--- a/quetzalwall/request/policies/fastest_sampled.py
+++ b/quetzalwall/request/policies/fastest_sampled.py
@@ -1,6 +1,6 @@
 """Choose the endpoint expected to answer first."""
 
-from quetzalwall.process.loads import expected_s
+from quetzalwall.process.placing.loads import expected_s
 
 __all__ = ["fastest_sampled"]
 
--- a/quetzalwall/request/serve.py
+++ b/quetzalwall/request/serve.py
@@ -281,7 +281,9 @@
         if choice.wait_s == 0 and not state.cold(now):
             way_s = self._durations.round_trip_s(state.region)
             seconds = max(0.001, now - began - way_s) / choice.slowness
-            self._durations.note_work(req.route, req.service, choice.held, seconds)
+            durations = self._durations
+            durations.note_work(req.route, req.service, choice.held, seconds)
+            durations.note_depth(req.route, req.service, choice.depth, seconds)
         return Answer(answer.status, facts.headers, answer.body)
 
     def _failed(self, req, failure):
@@ -320,6 +322,7 @@
             attempt=attempt,
             rank=choice.rank,
             held=choice.held,
+            depth=choice.depth,
             own=state.own_open,
             peers=state.peer_open,
             slow=choice.slowness,
--- a/quetzalwall/request/tests/test_claim.py
+++ b/quetzalwall/request/tests/test_claim.py
@@ -2,7 +2,7 @@
 
 from quetzalwall.clock import system_clock
 from quetzalwall.exceptions import NotRun
-from quetzalwall.process.write_batcher import create_write_batcher
+from quetzalwall.process.storage.write_batcher import create_write_batcher
 from quetzalwall.request.claim import (
     Claim,
     RecordedAnswer,
--- a/quetzalwall/request/tests/test_load_patterns.py
+++ b/quetzalwall/request/tests/test_load_patterns.py
@@ -10,6 +10,8 @@
 COLD_START = Pattern(per_s=260.0)
 # As much again: what can't be served in time has to be refused, not queued.
 BEYOND_COLD = COLD_START._replace(per_s=400.0)
+# Endpoints hold few objects, which has to be learned from their answers.
+FEW_HELD = Pattern(per_s=150.0, kept=8)
 FEW_AN_OBJECT = Pattern(per_s=30.0, objects=150, endpoints=15, slots=3)
 SLOW_NEIGHBOURS = Pattern(per_s=90.0, slow=4.0)
 SEEDS = (1, 2, 3)
@@ -23,6 +25,7 @@
     ("quiet", QUIET, 0.9),
     ("more work than cold endpoints can do", COLD_START, 0.9),
     ("far more work than cold endpoints can do", BEYOND_COLD, 0.9),
+    ("endpoints that hold few objects", FEW_HELD, 0.85),
     ("few requests an object", FEW_AN_OBJECT, 0.8),
     ("slow neighbours", SLOW_NEIGHBOURS, 0.85),
 )
