--- a/quetzalwall/request/choose.py
+++ b/quetzalwall/request/choose.py
@@ -4,6 +4,7 @@
 slot, the work at the endpoint's present speed, and whether it holds the object.
 """
 
+import math
 from typing import NamedTuple
 
 from quetzalwall.request.estimate import wait_s
@@ -98,6 +99,8 @@
         self._fleet = fleet
         self._rng = rng
         self._region = fleet.card.region
+        self._waits_of = None
+        self._waits = {}
 
     def choose(self, cfg, route, service, object_key, left_s, now, tried=()):
         """Return the endpoint for a request, or why there is none.
@@ -129,73 +132,67 @@
         order = {}
         if object_key is not None:
             order = self._endpoints.order(service, object_key)
-        hold_s = self._durations.hold_s(service)
-        work = {held: self._durations.work_s(route, held) for held in (True, False)}
-        best, best_key = None, None
+        best, least_key = None, math.inf
         for state in candidates:
             rank = order.get(state.name, HOLDERS)
-            depth = state.depth(object_key)
-            held = self._durations.holds(service, depth)
-            slowness = state.slowness(now)
-            if state.cold(now):
-                slowness *= COLD_RATIO
-            queue_s = slowness * wait_s(
-                state.entry.slots, state.open(), hold_s, FREE_PART
-            )
-            expected_s = (
-                self._durations.round_trip_s(state.region)
-                + queue_s
-                + work[held] * slowness
-            )
-            key = expected_s + self._rng.random() * SPREAD_S
-            key += SLOT_PART * work[held] * slowness
-            key -= SETTLE_S * max(0, HOLDERS - rank) / HOLDERS
-            if state.region != self._region:
-                key += FAR_S
-            if state.untried() and not state.open():
-                key -= UNTRIED_S
-            if not state.client.idle_count():
-                key += CONNECT_S
-            if best_key is None or key < best_key:
-                best_key = key
-                best = Choice(
-                    state,
-                    rank,
-                    held,
-                    depth,
-                    expected_s,
-                    queue_s,
-                    slowness,
-                    len(candidates),
-                )
-        least_s = best.expected_s - best.slowness * (
-            work[best.held] - self._durations.least_work_s(route, best.held)
+            choice = self._expect(route, service, object_key, state, rank, now)
+            key = choice.expected_s + self._handicap_s(choice, route)
+            if key < least_key:
+                best, least_key = choice, key
+        refusal = self._refuse(cfg, route, service, best, left_s)
+        if refusal is not None:
+            return refusal
+        if best.state.cold(now):
+            self._cold_pacing.note(best.state.name, now)
+        return best._replace(of=len(candidates))
+
+    def _expect(self, route, service, object_key, state, rank, now):
+        """Return what is to be expected of one endpoint."""
+        depth = state.depth(object_key)
+        held = self._durations.holds(service, depth)
+        slowness = state.slowness(now) * (COLD_RATIO if state.cold(now) else 1.0)
+        hold_s = self._durations.hold_s(service)
+        queue_s = slowness * wait_s(state.entry.slots, state.open(), hold_s, FREE_PART)
+        way_s = self._durations.round_trip_s(state.region)
+        work_s = self._durations.work_s(route, held) * slowness
+        return Choice(
+            state, rank, held, depth, way_s + queue_s + work_s, queue_s, slowness, 0
         )
-        if least_s > left_s:
-            return Refusal("too late", _retry_after_s(best.wait_s))
+
+    def _handicap_s(self, choice, route):
+        """Return by how much an endpoint seems farther than its answer's time."""
+        state = choice.state
+        work_s = self._durations.work_s(route, choice.held) * choice.slowness
+        handicap_s = SLOT_PART * work_s + self._rng.random() * SPREAD_S
+        handicap_s -= SETTLE_S * max(0, HOLDERS - choice.rank) / HOLDERS
+        if state.region != self._region:
+            handicap_s += FAR_S
+        if state.untried() and not state.open():
+            handicap_s -= UNTRIED_S
+        if not state.client.idle_count():
+            handicap_s += CONNECT_S
+        return handicap_s
+
+    def _refuse(self, cfg, route, service, best, left_s):
+        """Return why even the best endpoint is not to be used, or None."""
+        doubt_s = self._durations.work_s(route, best.held)
+        doubt_s -= self._durations.least_work_s(route, best.held)
+        retry_after_s = _retry_after_s(best.wait_s)
+        if best.expected_s - best.slowness * doubt_s > left_s:
+            return Refusal("too late", retry_after_s)
         if best.wait_s > self._longest_wait_s(cfg, route, service):
-            return Refusal("overload", _retry_after_s(best.wait_s))
+            return Refusal("overload", retry_after_s)
         if best.state.open() >= FULL_RATIO * best.state.entry.slots:
-            return Refusal("full", _retry_after_s(best.wait_s))
-        if best.state.cold(now):
-            self._cold_pacing.note(best.state.name, now)
-        return best
+            return Refusal("full", retry_after_s)
+        return None
 
     def _longest_wait_s(self, cfg, route, service):
-        """Return how long a request may queue without taking the room of others.
-
-        An endpoint serves in order of arrival, so what is less urgent has to be
-        refused before the queue makes what is more urgent late.
-        """
-        urgent = [
-            other.target_s
-            for routes in cfg.hosts.values()
-            for other in routes
-            if other.rank < route.rank and any(s == service for s, _ in other.split)
-        ]
-        if urgent:
-            return YIELDING_WAIT * min(urgent)
-        return LONGEST_WAIT * route.target_s
+        if self._waits_of is not cfg:
+            self._waits_of, self._waits = cfg, {}
+        key = (route.name, service)
+        if key not in self._waits:
+            self._waits[key] = _longest_wait_s(cfg, route, service)
+        return self._waits[key]
 
     def _candidates(self, cfg, route, service, now, tried):
         usable = [
@@ -218,6 +215,23 @@
         return self._cold_pacing.allows(state.name, service.cold_per_s, names, now)
 
 
+def _longest_wait_s(cfg, route, service):
+    """Return how long a request may queue without taking the room of others.
+
+    An endpoint serves in order of arrival, so what is less urgent has to be refused
+    before the queue makes what is more urgent late.
+    """
+    urgent = [
+        other.target_s
+        for routes in cfg.hosts.values()
+        for other in routes
+        if other.rank < route.rank and any(name == service for name, _ in other.split)
+    ]
+    if urgent:
+        return YIELDING_WAIT * min(urgent)
+    return LONGEST_WAIT * route.target_s
+
+
 def _retry_after_s(queue_s):
     return min(MOST_RETRY_S, max(LEAST_RETRY_S, queue_s))
 
