--- a/quetzalwall/process/knowledge/fleet.py
+++ b/quetzalwall/process/knowledge/fleet.py
@@ -4,9 +4,6 @@
 sender, so that a lost one is made good by the next.
 """
 
-import math
-from collections import deque
-
 import gevent
 import gevent.socket
 import msgspec
@@ -14,6 +11,7 @@
 from quetzalwall.logs import get_logger, log_event
 from quetzalwall.process.knowledge.endpoint_table import endpoint_code
 from quetzalwall.process.knowledge.peer_report import (
+    Audience,
     Peer,
     PeerReport,
     decode_report,
@@ -31,7 +29,6 @@
 SILENT_PERIODS = 6
 OWN_PAUSE_S = 1.0  # between two looks, after which silence says nothing
 FORGET_AFTER_S = 30.0
-MOST_HELD = 200  # objects named in one report
 MOST_DATAGRAM_BYTES = 60_000
 CALL_EVERY_S = 1.0  # to known instances that are silent
 LOG = get_logger("fleet")
@@ -65,7 +62,7 @@
         self._process = process
         self._sequence = 0
         self._looked = None
-        self._audiences = (_Audience(near=True), _Audience(near=False))
+        self._audiences = (Audience(near=True), Audience(near=False))
         self._peers = {}
         self._tasks = []
         self._sock = None
@@ -365,15 +362,6 @@
         return max(PERIOD_S, peers / rate)
 
 
-class _Audience:
-    """The peers of the own region, or all others, and what they were told last."""
-
-    def __init__(self, near):
-        self.near = near
-        self.told = -math.inf
-        self.held = deque(maxlen=MOST_HELD)
-
-
 def _is_newer(report, peer):
     """Return whether a report is no late one; wall clocks may step, so none is used."""
     if report.process == peer.process:
--- a/quetzalwall/process/knowledge/peer_report.py
+++ b/quetzalwall/process/knowledge/peer_report.py
@@ -1,11 +1,21 @@
 """What instances tell one another, and what one knows of another."""
 
 import math
+from collections import deque
 from typing import NamedTuple
 
 import msgspec
 
-__all__ = ["Peer", "PeerCard", "PeerReport", "decode_report", "encode_report"]
+__all__ = [
+    "Audience",
+    "Peer",
+    "PeerCard",
+    "PeerReport",
+    "decode_report",
+    "encode_report",
+]
+
+MOST_HELD = 200  # objects named in one report
 
 
 class PeerCard(NamedTuple):
@@ -65,6 +75,21 @@
     held: list[tuple[int, int]]
 
 
+class Audience:
+    """The peers of the own region, or all others, and what they were told last.
+
+    Parameters
+    ----------
+    near : bool
+        Whether they are those of the own region.
+    """
+
+    def __init__(self, near):
+        self.near = near
+        self.told = -math.inf
+        self.held = deque(maxlen=MOST_HELD)
+
+
 _DECODER = msgspec.msgpack.Decoder(PeerReport)
 _ENCODER = msgspec.msgpack.Encoder()
 
--- a/quetzalwall/request/serve.py
+++ b/quetzalwall/request/serve.py
@@ -23,9 +23,10 @@
 from quetzalwall.platform.headers import caller_facts, endpoint_headers
 from quetzalwall.request.choose import Refusal
 from quetzalwall.request.estimate import least
+from quetzalwall.request.whole_answer import Answer, refusal
 from quetzalwall.version.model import find_route
 
-__all__ = ["Answer", "RequestServer", "create_request_server"]
+__all__ = ["RequestServer", "create_request_server"]
 
 DEFAULT_WAIT_S = 30.0  # for callers and routes that name no limit
 UNREADY_RETRY_S = 0.5
@@ -36,24 +37,6 @@
 LOG = get_logger("request")
 
 
-class Answer(NamedTuple):
-    """An answer to a caller.
-
-    Attributes
-    ----------
-    status : int
-        HTTP status.
-    headers : list of (str, str)
-        Headers without the length.
-    body : bytes
-        The whole body.
-    """
-
-    status: int
-    headers: list
-    body: bytes
-
-
 class _Request(NamedTuple):
     """A request that has been read."""
 
@@ -124,7 +107,7 @@
             return req
         if taking_s == 0:
             self._log_refusal(req.facts, req.route.name, "stopping", STOPPING_RETRY_S)
-            return _refusal(STOPPING_RETRY_S, "stopping")
+            return refusal(STOPPING_RETRY_S, "stopping")
         self._limits.retries.note_request(req.service, req.arrived)
         watcher = None
         if req.route.idempotent and req.sock is not None:
@@ -147,7 +130,7 @@
         target = environ["quetzalwall.target"]
         if cfg is None:
             self._log_refusal(facts, "", "no configuration", UNREADY_RETRY_S)
-            return _refusal(UNREADY_RETRY_S, "no configuration yet")
+            return refusal(UNREADY_RETRY_S, "no configuration yet")
         host = environ.get("HTTP_HOST", "").partition(":")[0].lower()
         path = target.partition("?")[0]
         route = find_route(cfg, host, path)
@@ -202,7 +185,7 @@
                 self._log_refusal(
                     req.facts, req.route.name, choice.reason, choice.retry_after_s
                 )
-                return _refusal(choice.retry_after_s, choice.reason), "refused", None
+                return refusal(choice.retry_after_s, choice.reason), "refused", None
             tried.append(choice.state.name)
             self._log_choice(req, choice, attempt, now)
             try:
@@ -288,7 +271,7 @@
 
     def _failed(self, req, failure):
         if isinstance(failure, NotRun):
-            return _refusal(FAILED_RETRY_S, failure.message), "not-run", None
+            return refusal(FAILED_RETRY_S, failure.message), "not-run", None
         status = 504 if self._monotonic() >= req.deadline else 502
         body = f"{failure.step}: {failure.message}\n".encode()
         return Answer(status, [("Content-Type", "text/plain")], body), "unknown", None
@@ -373,11 +356,6 @@
     return xxhash.xxh32_intdigest(f"{route.name}/{facts.object_key}".encode())
 
 
-def _refusal(retry_after_s, reason):
-    headers = [("Retry-After", f"{retry_after_s:.2f}"), ("Content-Type", "text/plain")]
-    return Answer(503, headers, f"not run: {reason}\n".encode())
-
-
 def create_request_server(knowledge, chooser, durations, limits, metrics, monotonic):
     """Return the server of callers' requests.
 
