--- a/quetzalwall/connection/tests/test_endpoint_client.py
+++ b/quetzalwall/connection/tests/test_endpoint_client.py
@@ -12,7 +12,7 @@
     OutcomeUnknown,
 )
 from quetzalwall.platform.headers import answer_facts
-from quetzalwall.tests.platform_fixtures import free_ports
+from quetzalwall.tests.platform_fixtures import free_ports, own_address
 
 ID = "X-Quetzalwall-Request-Id"
 
@@ -137,7 +137,7 @@
 def test_a_refused_connection_is_not_run():
     (port,) = free_ports(1)
     client = create_endpoint_client(
-        "ep", "127.0.0.1", port, answer_facts, time.monotonic
+        "ep", own_address(0), port, answer_facts, time.monotonic
     )
     try:
         exchange(client)
--- a/quetzalwall/process/tests/test_front.py
+++ b/quetzalwall/process/tests/test_front.py
@@ -195,6 +195,17 @@
         stop.join()
 
 
+def test_a_planned_stop_waits_for_a_long_request():
+    with running_site() as site:
+        for endpoint in site.endpoints:
+            endpoint.behaviour["slow_s"] = 1.5  # longer than the least stay, 1.4 s
+        running = gevent.spawn(site.get, "/book/1", 0, "POST")
+        gevent.sleep(0.05)
+        site.fronts[0].stop()
+        running.join()
+        assert running.value[0] == 200
+
+
 def test_a_silent_instance_leaves_the_look_ups():
     with running_site(fronts=2) as site:
         assert len(look_up(site.fronts[0], site.ports)[1]["addresses"]) == 2
--- a/quetzalwall/tests/platform_fixtures.py
+++ b/quetzalwall/tests/platform_fixtures.py
@@ -1,6 +1,7 @@
 """Fixtures of tests on the platform: store, endpoints and instances in one process."""
 
 import json
+import os
 import random
 import socket
 import tempfile
@@ -104,12 +105,18 @@
     return file.name
 
 
+def own_address(number):
+    """Return an address on loopback that no other test process uses."""
+    pid = os.getpid()
+    return f"127.{32 + pid % 192}.{pid // 192 % 256}.{number + 1}"
+
+
 def free_ports(count):
-    """Return ports that nobody listens on now."""
+    """Return ports of the own addresses that nobody listens on now."""
     socks = [socket.socket() for _ in range(count)]
     try:
         for sock in socks:
-            sock.bind(("127.0.0.1", 0))
+            sock.bind((own_address(0), 0))
         return [sock.getsockname()[1] for sock in socks]
     finally:
         for sock in socks:
@@ -191,7 +198,7 @@
 
 def start_front(stack, site, number, seeds=()):
     """Start one more instance."""
-    address = f"127.0.2.{number + 1}"
+    address = own_address(number)
     domain = ("north-a", "north-b", "south-a")[number % 3]
     body = settings_body(
         address, site.store.server.address, site.ports, f"front-{number}", domain, seeds
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -15,6 +15,7 @@
     config_body,
     entry_body,
     free_ports,
+    own_address,
     route_row,
     settings_body,
     write_settings,
@@ -42,11 +43,11 @@
     """
 
     def __init__(self, number, world):
-        self.address = f"127.0.3.{number + 1}"
+        self.address = own_address(number)
         self.domain = DOMAINS[number % 3]
         self.store = create_proxy(world.store.server.address)
         self.store.start()
-        seeds = [f"127.0.3.{n + 1}:{world.ports[2]}" for n in range(3)]
+        seeds = [f"{own_address(n)}:{world.ports[2]}" for n in range(3)]
         body = settings_body(
             self.address,
             self.store.place,
