--- a/quetzalwall/platform/settings.py
+++ b/quetzalwall/platform/settings.py
@@ -19,6 +19,7 @@
     "Bounds",
     "InstanceSettings",
     "Listen",
+    "format_places",
     "parse_place",
     "read_settings",
     "settings_path",
@@ -28,6 +29,9 @@
 PLACE = {"type": "string", "pattern": r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$"}
 NAME = {"type": "string", "minLength": 1}
 FROM_OPERATORS, FROM_TREE = "operators", "tree"  # where the configuration comes from
+DEFAULT_LINK_MBPS = 1000.0
+DEFAULT_MEMORY_MB = 300.0
+DEFAULT_CONNECTIONS = 4096
 LISTENERS = ("callers", "health", "peers", "lookup", "metrics")
 SCHEMA = {
     "type": "object",
@@ -146,6 +150,10 @@
         Address of the metadata store.
     link_mbps : float
         Rate of the machine's link in Mbit/s.
+    memory_mb : float
+        Memory that the process may use, in MB.
+    connections : int
+        Descriptors that the process may have open.
     configuration : str
         ``"operators"`` for the platform's own, ``"tree"`` for the product's tree.
     bounds : Bounds
@@ -162,6 +170,8 @@
     seeds: list
     store: tuple
     link_mbps: float
+    memory_mb: float
+    connections: int
     configuration: str
     bounds: Bounds
 
@@ -220,7 +230,9 @@
         peer_port=body["peer_ports"][0],
         seeds=[parse_place(text) for text in body.get("seeds", ())],
         store=parse_place(body["store"]),
-        link_mbps=float(body.get("link_mbps", 1000.0)),
+        link_mbps=float(body.get("link_mbps", DEFAULT_LINK_MBPS)),
+        memory_mb=float(body.get("memory_mb", DEFAULT_MEMORY_MB)),
+        connections=body.get("connections", DEFAULT_CONNECTIONS),
         configuration=body.get("configuration", FROM_OPERATORS),
         bounds=Bounds(**bounds),
     )
@@ -247,6 +259,22 @@
     return host, int(port)
 
 
+def format_places(listen):
+    """Return all addresses of a process as text for the log.
+
+    Parameters
+    ----------
+    listen : Listen
+        The addresses.
+
+    Returns
+    -------
+    str
+    """
+    pairs = zip(listen._fields, listen, strict=True)
+    return ",".join(f"{name}:{host}:{port}" for name, (host, port) in pairs)
+
+
 def _fault(file, error):
     path = "/" + "/".join(str(part) for part in error.absolute_path)
     return Fault(file, path, str(error.instance)[:80], error.message[:160])
--- a/quetzalwall/process/front.py
+++ b/quetzalwall/process/front.py
@@ -16,10 +16,10 @@
 from quetzalwall.connection.json_call import create_json_client
 from quetzalwall.connection.product_headers import PRODUCT_DIALECT
 from quetzalwall.exceptions import PeerError, SettingsError, StoreError
-from quetzalwall.logs import get_logger, log_event
+from quetzalwall.logs import describe_failure, get_logger, log_event
 from quetzalwall.platform.headers import PLATFORM_DIALECT
 from quetzalwall.platform.rows import INSTANCES_TABLE
-from quetzalwall.platform.settings import FROM_TREE, read_settings
+from quetzalwall.platform.settings import FROM_TREE, format_places, read_settings
 from quetzalwall.platform.store import create_store_client
 from quetzalwall.process.front_interfaces import create_interfaces
 from quetzalwall.process.front_metrics import create_front_metrics
@@ -39,6 +39,7 @@
 from quetzalwall.process.limits.retry_allowance import create_retry_allowance
 from quetzalwall.process.limits.shifting import create_shifts
 from quetzalwall.process.limits.weighted_split import create_weighted_split
+from quetzalwall.process.self_watch import PERIOD_S, create_self_watch
 from quetzalwall.process.storage.operators import create_operators
 from quetzalwall.process.storage.store_table import create_store_table
 from quetzalwall.process.storage.write_batcher import create_write_batcher
@@ -144,6 +145,9 @@
             self.metrics,
             now,
         )
+        self.self_watch = create_self_watch(
+            settings.memory_mb, lambda: self.in_flight, now
+        )
         self._watches = {
             table: self._create_watch(table) for table in self.knowledge.tables
         }
@@ -170,6 +174,7 @@
             gevent.spawn(self._register),
             repeat(self._tick, TICK_S),
             repeat(self._check_settings, SETTINGS_PERIOD_S),
+            repeat(self.self_watch.look, PERIOD_S),
         ]
         log_event(
             LOG,
@@ -178,6 +183,9 @@
             address=self.settings.address,
             domain=self.settings.domain,
             process=os.getpid(),
+            listening=format_places(listen),
+            memory_mb=self.settings.memory_mb,
+            connections=self.settings.connections,
         )
 
     def wait(self):
@@ -393,6 +401,10 @@
     signal_handler(SIGTERM, lambda: gevent.spawn(front.stop))
     signal_handler(SIGINT, lambda: gevent.spawn(front.stop))
     signal_handler(SIGHUP, front.reload)
-    front.start()
+    try:
+        front.start()
+    except Exception as exc:
+        log_event(LOG, "not-started", "critical", **describe_failure(exc))
+        raise
     front.wait()
     return 0
--- /dev/null
+++ b/quetzalwall/process/self_watch.py
@@ -0,0 +1,109 @@
+"""What a process knows of itself: its memory, and whether its event loop was held."""
+
+import os
+
+from quetzalwall.logs import get_logger, log_event
+
+__all__ = ["SelfWatch", "create_self_watch", "resident_bytes"]
+
+PERIOD_S = 0.5  # between two looks
+HELD_S = 0.25  # beyond the period, a look counts as late
+MEMORY_STEPS = 8  # of the machine's memory; each new one that is passed is logged
+STATM = "/proc/self/statm"
+MB = 1_000_000
+LOG = get_logger("process")
+
+
+class SelfWatch:
+    """Looks at the own process.
+
+    Parameters
+    ----------
+    memory_mb : float
+        Memory of the machine in MB.
+    in_flight : callable
+        Requests that are under way.
+    monotonic : callable
+        Clock in seconds.
+
+    Attributes
+    ----------
+    resident : int
+        Bytes of memory at the last look.
+    held_s : float
+        Longest time for which the event loop was held, in seconds.
+    """
+
+    def __init__(self, memory_mb, in_flight, monotonic):
+        self.resident = 0
+        self.held_s = 0.0
+        self._memory_mb = memory_mb
+        self._in_flight = in_flight
+        self._monotonic = monotonic
+        self._looked = None
+        self._step = 0
+
+    def look(self):
+        """Log what has changed since the last look."""
+        now = self._monotonic()
+        self._note_held(now)
+        self._note_memory()
+        self._looked = now
+
+    def _note_held(self, now):
+        if self._looked is None:
+            return
+        held_s = now - self._looked - PERIOD_S
+        self.held_s = max(self.held_s, held_s)
+        if held_s > HELD_S:
+            log_event(
+                LOG, "held-up", "warning", held_s=held_s, in_flight=self._in_flight()
+            )
+
+    def _note_memory(self):
+        self.resident = resident_bytes()
+        step = int(self.resident / MB / self._memory_mb * MEMORY_STEPS)
+        if step > self._step:
+            log_event(
+                LOG,
+                "memory",
+                "warning" if step > MEMORY_STEPS // 2 else "info",
+                resident_mb=self.resident // MB,
+                of_mb=self._memory_mb,
+                in_flight=self._in_flight(),
+            )
+        self._step = step
+
+
+def resident_bytes():
+    """Return the bytes of memory that this process holds.
+
+    Returns
+    -------
+    int
+        0 where the system does not tell.
+    """
+    try:
+        with open(STATM) as stream:
+            return int(stream.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
+    except (OSError, ValueError, IndexError):
+        return 0
+
+
+def create_self_watch(memory_mb, in_flight, monotonic):
+    """Return a watch of the own process.
+
+    Parameters
+    ----------
+    memory_mb : float
+        Memory of the machine in MB.
+    in_flight : callable
+        Requests that are under way.
+    monotonic : callable
+        Clock in seconds.
+
+    Returns
+    -------
+    SelfWatch
+    """
+    return SelfWatch(memory_mb, in_flight, monotonic)
