--- /dev/null
+++ b/deploy/__init__.py
@@ -0,0 +1,1 @@
+"""How the platform builds and starts the system."""
