--- a/quetzalwall/connection/answer_parser.py
+++ b/quetzalwall/connection/answer_parser.py
@@ -5,9 +5,12 @@
 from geventhttpclient.header import Headers
 from geventhttpclient.response import HTTPParseError, HTTPResponse
 
+from quetzalwall.connection.fair_socket import MOST_HEAD_BYTES
+
 __all__ = ["AnswerParser", "ParsedAnswer"]
 
 LOWEST_FINAL_STATUS = 200
+MOST_FRAMING = 8  # bytes of chunked framing for each byte of a body in tiny chunks
 
 
 class ParsedAnswer(NamedTuple):
@@ -46,12 +49,15 @@
     ----------
     answers : list of ParsedAnswer
         Complete answers in the order of their arrival.
+    received : int
+        Bytes so far.
     """
 
     def __init__(self, method):
         super().__init__(method, headers_type=Headers)
         self.answers = []
         self.received = 0
+        self._body_bytes = 0
 
     def feed(self, data):
         """Parse bytes from the connection.
@@ -75,6 +81,16 @@
                 raise
             self.answers = [answer._replace(reusable=False) for answer in self.answers]
 
+    def overlong(self):
+        """Return whether there is more beside bodies than any answer needs.
+
+        Returns
+        -------
+        bool
+        """
+        beside = self.received - self._body_bytes
+        return beside > MOST_HEAD_BYTES + MOST_FRAMING * self._body_bytes
+
     def clean(self):
         """Return whether nothing has begun after the last complete answer.
 
@@ -84,6 +100,10 @@
         """
         return self.message_complete and not self.parser_failed()
 
+    def _on_body(self, buf):
+        self._body_bytes += len(buf)
+        super()._on_body(buf)
+
     def _on_message_complete(self):
         super()._on_message_complete()
         status = self.get_code()
--- a/quetzalwall/connection/endpoint_client.py
+++ b/quetzalwall/connection/endpoint_client.py
@@ -15,7 +15,8 @@
 from geventhttpclient.response import HTTPParseError
 
 from quetzalwall.connection.answer_parser import AnswerParser
-from quetzalwall.connection.nodelay import readable_now, set_nodelay
+from quetzalwall.connection.fair_socket import connect
+from quetzalwall.connection.nodelay import readable_now
 from quetzalwall.exceptions import (
     IncompleteAnswer,
     NotConnected,
@@ -154,7 +155,7 @@
 
         Returns
         -------
-        (gevent.socket.socket, bool)
+        (FairSocket, bool)
 
         Raises
         ------
@@ -171,11 +172,9 @@
                 return idle.sock, False
             _close(idle.sock)
         try:
-            sock = gevent.socket.create_connection(self.place, CONNECT_TIMEOUT_S)
+            sock = connect(self.place, CONNECT_TIMEOUT_S)
         except OSError as exc:
             raise NotConnected(str(exc), step="connect", peer=self.name) from exc
-        set_nodelay(sock)
-        sock.settimeout(None)
         self.opened += 1
         self.connect_s = self._monotonic() - now
         return sock, True
@@ -185,7 +184,7 @@
 
         Parameters
         ----------
-        sock : gevent.socket.socket
+        sock : FairSocket
             The connection.
         keep_alive_s : float or None
             Seconds for which the endpoint keeps it, if it said so.
@@ -297,7 +296,7 @@
         return facts.request_id == self._exchange.request_id
 
     def _read_more(self, parser, name):
-        if parser.received > MOST_ANSWER_BYTES:
+        if parser.received > MOST_ANSWER_BYTES or parser.overlong():
             raise IncompleteAnswer("answer is too long", "read", name)
         data = b""
         try:
--- a/quetzalwall/connection/json_call.py
+++ b/quetzalwall/connection/json_call.py
@@ -11,7 +11,7 @@
 
 __all__ = ["JsonAnswer", "JsonClient", "create_json_client"]
 
-MAX_ANSWER_BYTES = 64 * 1024 * 1024
+MAX_ANSWER_BYTES = 16 * 1024 * 1024  # the store sends 1 MB a page
 JSON_HEADERS = {"Content-Type": "application/json"}
 
 
--- a/quetzalwall/connection/nodelay.py
+++ b/quetzalwall/connection/nodelay.py
@@ -1,16 +1,15 @@
 """Disable Nagle's algorithm on every socket of the system.
 
 With it, a small request that is written in two pieces waits for the delayed
-acknowledgement of the first, about 40 ms. Both sides take their sockets from here.
+acknowledgement of the first, about 40 ms.
 """
 
 import select
 
 import gevent.socket
 from gevent.pywsgi import WSGIServer
-from geventhttpclient.connectionpool import ConnectionPool
 
-__all__ = ["NoDelayPool", "NoDelayServer", "readable_now", "set_nodelay"]
+__all__ = ["NoDelayServer", "readable_now", "set_nodelay"]
 
 
 def set_nodelay(sock):
@@ -42,24 +41,6 @@
     return bool(poller.poll(0))
 
 
-class NoDelayPool(ConnectionPool):
-    """Connection pool whose sockets have TCP_NODELAY set."""
-
-    def after_connect(self, sock):
-        """Set TCP_NODELAY once a socket is connected.
-
-        Parameters
-        ----------
-        sock : gevent.socket.socket
-            The connected socket.
-        """
-        set_nodelay(sock)
-
-    def _is_socket_alive(self, sock):
-        # The library's own check uses select(2).
-        return sock is not None and sock.fileno() >= 0 and not readable_now(sock)
-
-
 class NoDelayServer(WSGIServer):
     """WSGI server whose accepted sockets have TCP_NODELAY set."""
 
--- a/quetzalwall/connection/single_attempt.py
+++ b/quetzalwall/connection/single_attempt.py
@@ -9,13 +9,15 @@
 from typing import NamedTuple
 
 from geventhttpclient.client import HTTPClient
+from geventhttpclient.connectionpool import ConnectionPool
 from geventhttpclient.response import (
     HTTPParseError,
     HTTPResponse,
     HTTPSocketPoolResponse,
 )
 
-from quetzalwall.connection.nodelay import NoDelayPool
+from quetzalwall.connection.fair_socket import MOST_HEAD_BYTES, FairSocket
+from quetzalwall.connection.nodelay import readable_now, set_nodelay
 from quetzalwall.exceptions import NotRun, OutcomeUnknown
 
 __all__ = ["CheckedResponse", "SentRequest", "SingleAttemptClient", "create_client"]
@@ -53,6 +55,27 @@
     request_id: str = ""
 
 
+class FairPool(ConnectionPool):
+    """Connection pool of fair sockets that have TCP_NODELAY set."""
+
+    def after_connect(self, sock):
+        """Set TCP_NODELAY once a socket is connected.
+
+        Parameters
+        ----------
+        sock : gevent.socket.socket
+            The connected socket.
+        """
+        set_nodelay(sock)
+
+    def _create_tcp_socket(self, family, socktype, protocol):
+        return FairSocket(family, socktype, protocol)
+
+    def _is_socket_alive(self, sock):
+        # The library's own check uses select(2).
+        return sock is not None and sock.fileno() >= 0 and not readable_now(sock)
+
+
 class SingleAttemptClient(HTTPClient):
     """Client of one peer, with pooled connections and no retries.
 
@@ -80,7 +103,7 @@
             connection_timeout=connect_timeout_s,
         )
         self.peer = peer
-        self._connection_pool = NoDelayPool(
+        self._connection_pool = FairPool(
             host,
             port,
             host,
@@ -204,6 +227,7 @@
 
     def __init__(self, sock, pool, req):
         self._request_id = req.request_id
+        self._fed = 0
         self._ended = False
         self._excess = False
         super().__init__(sock, pool=pool, block_size=BLOCK_SIZE, method=req.method)
@@ -230,16 +254,22 @@
         Raises
         ------
         HTTPParseError
-            The answer is malformed or was cut.
+            The answer is malformed or was cut, or its head is too long.
         """
+        self._fed += len(data)
         try:
             super().feed(data)
         except HTTPParseError:
             if not self._ended:
                 raise
+        if self._fed > MOST_HEAD_BYTES and not self._head_read():
+            raise HTTPParseError("head is too long")
         if self._ended:
             self.release()
 
+    def _head_read(self):
+        return self.headers_complete and self.get_code() >= LOWEST_FINAL_STATUS
+
     def discard(self):
         """Close the connection, whatever remains to be read from it."""
         self._request_id = "discarded"
