--- a/benchmarks/cases/platform_choice.py
+++ b/benchmarks/cases/platform_choice.py
@@ -1,6 +1,16 @@
 """Choice of endpoints on the platform, over load patterns and without a network."""
 
-from benchmarks.platform_load import CHOICES, Pattern, play
+from benchmarks.load_pattern import (
+    BEYOND_COLD,
+    COLD_START,
+    FEW_AN_OBJECT,
+    QUIET,
+    REGION_LOST,
+    SLOW_NEIGHBOURS,
+    SURGE,
+    TROUBLE,
+)
+from benchmarks.platform_load import CHOICES, play
 from benchmarks.rows import make_row
 
 __all__ = ["run"]
@@ -15,25 +25,14 @@
 SEEDS = (1, 2, 3, 4, 5)
 BOUND = ">= 80"
 PATTERNS = {
-    "quiet": Pattern(per_s=90.0),
-    "cold start": Pattern(per_s=260.0),
-    "beyond cold": Pattern(per_s=400.0),
-    "few an object": Pattern(per_s=30.0, objects=150, slots=3),
-    "slow neighbours": Pattern(per_s=90.0, slow=4.0),
-    "surge, 3 times": Pattern(per_s=110.0, surge=3.0, returns=True),
-    "a region lost": Pattern(per_s=150.0, region_lost_at_s=10.0, returns=True),
-    "crowded, in trouble": Pattern(
-        per_s=190.0,
-        work_s=0.7,
-        objects=80,
-        kept=20,
-        instances=9,
-        noise=0.15,
-        tail=0.03,
-        lost_at_s=4.0,
-        returns=True,
-        span_s=14.0,
-    ),
+    "quiet": QUIET,
+    "cold start": COLD_START,
+    "beyond cold": BEYOND_COLD,
+    "few an object": FEW_AN_OBJECT,
+    "slow neighbours": SLOW_NEIGHBOURS,
+    "surge, 3 times": SURGE,
+    "a region lost": REGION_LOST,
+    "crowded, in trouble": TROUBLE,
 }
 
 
--- a/benchmarks/load_pattern.py
+++ b/benchmarks/load_pattern.py
@@ -2,7 +2,19 @@
 
 from typing import NamedTuple
 
-__all__ = ["Pattern", "Result"]
+__all__ = [
+    "BEYOND_COLD",
+    "COLD_START",
+    "FEW_AN_OBJECT",
+    "FEW_HELD",
+    "QUIET",
+    "REGION_LOST",
+    "SLOW_NEIGHBOURS",
+    "SURGE",
+    "TROUBLE",
+    "Pattern",
+    "Result",
+]
 
 
 class Pattern(NamedTuple):
@@ -73,3 +85,31 @@
     late: float
     refused: float
     timed_out: float
+
+
+QUIET = Pattern(per_s=90.0)
+# Cold endpoints could serve 150 requests a second, and 500 once they hold the objects:
+# with long queues of requests that time out, they never come to hold them.
+COLD_START = Pattern(per_s=260.0)
+# As much again: what can't be served in time has to be refused, not queued.
+BEYOND_COLD = COLD_START._replace(per_s=400.0)
+# Endpoints hold few objects, which has to be learned from their answers.
+FEW_HELD = Pattern(per_s=150.0, kept=8)
+FEW_AN_OBJECT = Pattern(per_s=30.0, objects=150, endpoints=15, slots=3)
+SLOW_NEIGHBOURS = Pattern(per_s=90.0, slow=4.0)
+# More work than cold endpoints can do while one in five falls silent and comes back
+# without its objects, neighbours make others slow, and who is refused comes back.
+TROUBLE = Pattern(
+    per_s=190.0,
+    work_s=0.7,
+    objects=80,
+    kept=20,
+    instances=9,
+    noise=0.15,
+    tail=0.03,
+    lost_at_s=4.0,
+    returns=True,
+    span_s=14.0,
+)
+SURGE = Pattern(per_s=110.0, surge=3.0, returns=True)
+REGION_LOST = Pattern(per_s=150.0, region_lost_at_s=10.0, returns=True)
