--- a/quetzalwall/connection/caller.py
+++ b/quetzalwall/connection/caller.py
@@ -5,14 +5,20 @@
 
 from quetzalwall.connection.http_server import BadRequest
 
-__all__ = ["CallerLeft", "is_closed", "read_body", "watch_caller"]
+__all__ = ["CallerLeft", "NoMemory", "is_closed", "read_body", "watch_caller"]
+
+PIECE_BYTES = 64 * 1024  # of a body, read at one time
 
 
 class CallerLeft(gevent.GreenletExit):
     """The caller closed its connection while its request was served."""
 
 
-def read_body(environ, most_bytes):
+class NoMemory(Exception):
+    """There is no room for a caller's body now; its request was not run."""
+
+
+def read_body(environ, most_bytes, hold):
     """Return the whole body of a request.
 
     Parameters
@@ -21,6 +27,8 @@
         WSGI environment.
     most_bytes : int
         Longest body that is taken.
+    hold : Hold
+        Counts its bytes.
 
     Returns
     -------
@@ -32,19 +40,25 @@
         It is too long.
     CallerLeft
         The caller closed its connection.
+    NoMemory
+        There is no room for it now.
     """
     length = environ.get("CONTENT_LENGTH", "")
     if length.isdigit() and int(length) > most_bytes:
         raise BadRequest(413, f"body is longer than {most_bytes} bytes")
     if not length and "HTTP_TRANSFER_ENCODING" not in environ:
         return b""
+    body = bytearray()
     try:
-        body = environ["wsgi.input"].read(most_bytes + 1)
+        while piece := environ["wsgi.input"].read(PIECE_BYTES):
+            if len(body) + len(piece) > most_bytes:
+                raise BadRequest(413, f"body is longer than {most_bytes} bytes")
+            if not hold.take(len(piece)):
+                raise NoMemory
+            body += piece
     except OSError as exc:
         raise CallerLeft(str(exc)) from exc
-    if len(body) > most_bytes:
-        raise BadRequest(413, f"body is longer than {most_bytes} bytes")
-    return body
+    return bytes(body)
 
 
 def watch_caller(sock, server):
--- a/quetzalwall/connection/endpoint_client.py
+++ b/quetzalwall/connection/endpoint_client.py
@@ -16,6 +16,7 @@
 
 from quetzalwall.connection.answer_parser import AnswerParser
 from quetzalwall.connection.fair_socket import connect
+from quetzalwall.connection.held_bytes import Hold
 from quetzalwall.connection.nodelay import readable_now
 from quetzalwall.exceptions import (
     IncompleteAnswer,
@@ -32,7 +33,7 @@
 KEEP_ALIVE_MARGIN_S = 1.0
 INLINE_BODY_BYTES = 16 * 1024  # longer bodies are sent while the answer is awaited
 READ_BYTES = 64 * 1024
-MOST_ANSWER_BYTES = 64 * 1024 * 1024
+MOST_ANSWER_BYTES = 64 * 1024 * 1024  # where nothing is counted
 MOST_IDLE = 64  # connections
 MIN_LIMIT_S = 0.001
 LOOK_S = 0.25  # between two looks at whether an answer is still worth waiting for
@@ -55,6 +56,8 @@
         Whether it may be sent on a connection that has been idle for longer.
     hopeless : callable or None
         Whether no answer is to be expected any more; None to wait in any case.
+    hold : Hold or None
+        Counts the bytes of the answer; None counts none.
     """
 
     method: str
@@ -64,6 +67,7 @@
     request_id: str
     idempotent: bool
     hopeless: Callable | None = None
+    hold: Hold | None = None
 
 
 class _Idle(NamedTuple):
@@ -254,6 +258,7 @@
         self._exchange = exchange
         self._sock = None
         self._sender = None
+        self._taken = 0
 
     def run(self, raw):
         self._sock, fresh = self._client.take(self._exchange.idempotent)
@@ -266,12 +271,15 @@
         if answer.reusable and not unsent and not more:
             self._client.give_back(self._sock, facts.keep_alive_s)
             self._sock = None
+        self._taken = 0  # the answer is held until the caller has it
         return answer, facts
 
     def close(self):
         if self._sender is not None:
             self._sender.kill()
         _close(self._sock)
+        if self._taken:
+            self._exchange.hold.give_back(self._taken)
 
     def _send(self, raw):
         if len(raw) <= INLINE_BODY_BYTES:
@@ -296,12 +304,11 @@
         return facts.request_id == self._exchange.request_id
 
     def _read_more(self, parser, name):
-        if parser.received > MOST_ANSWER_BYTES or parser.overlong():
-            raise IncompleteAnswer("answer is too long", "read", name)
         data = b""
         try:
             self._await_bytes(parser, name)
             data = self._sock.recv(READ_BYTES)
+            self._count(data, parser, name)
             parser.feed(data)
         except OSError as exc:
             kind = IncompleteAnswer if parser.received else OutcomeUnknown
@@ -313,6 +320,18 @@
             kind = IncompleteAnswer if parser.received else OutcomeUnknown
             raise kind("connection was closed", "read", name)
 
+    def _count(self, data, parser, name):
+        """Count bytes before they are parsed; raise if they are too many."""
+        hold, size = self._exchange.hold, parser.received + len(data)
+        most = MOST_ANSWER_BYTES if hold is None else hold.whole.answer_bytes
+        if size > most or parser.overlong():
+            raise IncompleteAnswer("answer is too long", "read", name)
+        if hold is None:
+            return
+        if not hold.take(len(data)):
+            raise IncompleteAnswer("no memory for the answer", "read", name)
+        self._taken += len(data)
+
     def _await_bytes(self, parser, name):
         hopeless = self._exchange.hopeless
         while hopeless is not None and not parser.received:
--- a/quetzalwall/connection/front_server.py
+++ b/quetzalwall/connection/front_server.py
@@ -10,11 +10,13 @@
     status_line,
 )
 from quetzalwall.logs import describe_failure, get_logger, log_event
+from quetzalwall.request.whole_answer import Answer
 
 __all__ = ["create_front_application", "create_front_server"]
 
 SOCKET_KEY = "quetzalwall.socket"
 TARGET_KEY = "quetzalwall.target"
+HOLD_KEY = "quetzalwall.hold"
 LOG = get_logger("front-server")
 
 
@@ -34,7 +36,15 @@
         return environ
 
 
-def create_front_application(serve, malformed, stopping):
+class _Body(list):
+    """An answer's body, counted as held until the server has sent it."""
+
+    def __init__(self, body, hold):
+        super().__init__([body])
+        self.close = hold.close
+
+
+def create_front_application(serve, malformed, stopping, held):
     """Return the WSGI application for callers.
 
     Parameters
@@ -45,6 +55,8 @@
         From a `BadRequest` to an `Answer`.
     stopping : callable
         Whether connections should end after their answers.
+    held : HeldBytes
+        Counts the bytes of requests and answers.
 
     Returns
     -------
@@ -52,31 +64,37 @@
     """
 
     def application(environ, start_response):
+        hold = environ[HOLD_KEY] = held.open()
+        try:
+            answer = answer_to(environ)
+        except BaseException:
+            hold.close()
+            raise
+        _start(start_response, answer.status, answer.headers, answer.body, stopping())
+        return _Body(answer.body, hold)
+
+    def answer_to(environ):
         try:
-            answer = serve(environ)
+            return serve(environ)
         except BadRequest as exc:
-            answer = malformed(exc)
+            return malformed(exc)
         except CallerLeft as exc:
             # The server then closes the connection without an answer.
             raise ConnectionResetError(errno.ECONNRESET, str(exc)) from exc
         except Exception as exc:
             log_event(LOG, "failed", "error", **describe_failure(exc))
-            return _send(start_response, 502, [], b"unexpected failure\n", True)
-        return _send(
-            start_response, answer.status, answer.headers, answer.body, stopping()
-        )
+            return Answer(502, [("Connection", "close")], b"unexpected failure\n")
 
     return application
 
 
-def _send(start_response, status, headers, body, closing):
+def _start(start_response, status, headers, body, closing):
     headers = list(headers)
     if status not in (204, 304):
         headers.append(("Content-Length", str(len(body))))
-    if closing:
+    if closing and ("Connection", "close") not in headers:
         headers.append(("Connection", "close"))
     start_response(status_line(status), headers)
-    return [body]
 
 
 def create_front_server(place, application):
--- /dev/null
+++ b/quetzalwall/connection/held_bytes.py
@@ -0,0 +1,106 @@
+"""Limit on the bytes of requests and answers that a process holds at one time."""
+
+__all__ = ["Hold", "HeldBytes", "create_held_bytes"]
+
+MB = 1_000_000
+OWN_MB = 64.0  # the process without any request
+HELD_PART = 0.4  # of the rest; each byte is copied once on its way
+LEAST_BYTES = 16 * MB
+ANSWER_PART = (
+    0.25  # of all that one answer may take, so that one does not starve others
+)
+
+
+class HeldBytes:
+    """Bytes of all requests under way in a process.
+
+    Parameters
+    ----------
+    capacity : int
+        Most bytes held at one time.
+
+    Attributes
+    ----------
+    held : int
+        Bytes held now.
+    answer_bytes : int
+        Most bytes of one answer.
+    """
+
+    def __init__(self, capacity):
+        self.capacity = capacity
+        self.held = 0
+        self.answer_bytes = int(capacity * ANSWER_PART)
+
+    def open(self):
+        """Return the share of a request, which has to be closed.
+
+        Returns
+        -------
+        Hold
+        """
+        return Hold(self)
+
+
+class Hold:
+    """Bytes that one request holds: its body, and answers to it.
+
+    Parameters
+    ----------
+    whole : HeldBytes
+        Those of the process.
+    """
+
+    def __init__(self, whole):
+        self.whole = whole
+        self._own = 0
+
+    def take(self, size):
+        """Count more bytes if there is room for them.
+
+        Parameters
+        ----------
+        size : int
+            Bytes.
+
+        Returns
+        -------
+        bool
+            Whether there is room.
+        """
+        if self.whole.held + size > self.whole.capacity:
+            return False
+        self.whole.held += size
+        self._own += size
+        return True
+
+    def give_back(self, size):
+        """Count bytes no more.
+
+        Parameters
+        ----------
+        size : int
+            Bytes that were taken.
+        """
+        self.whole.held -= size
+        self._own -= size
+
+    def close(self):
+        """Count none of the request's bytes any more."""
+        self.give_back(self._own)
+
+
+def create_held_bytes(memory_mb):
+    """Return the count of a process that holds nothing yet.
+
+    Parameters
+    ----------
+    memory_mb : float
+        Memory of the machine in MB.
+
+    Returns
+    -------
+    HeldBytes
+    """
+    room = int((memory_mb - OWN_MB) * HELD_PART * MB)
+    return HeldBytes(max(LEAST_BYTES, room))
--- a/quetzalwall/process/front.py
+++ b/quetzalwall/process/front.py
@@ -13,6 +13,7 @@
     create_front_application,
     create_front_server,
 )
+from quetzalwall.connection.held_bytes import create_held_bytes
 from quetzalwall.connection.json_call import create_json_client
 from quetzalwall.connection.product_headers import PRODUCT_DIALECT
 from quetzalwall.exceptions import PeerError, SettingsError, StoreError
@@ -115,6 +116,7 @@
             self.endpoints, self.fleet, TREE_TABLES if from_tree else PLATFORM_TABLES
         )
         self.knowledge.on_configuration = self._take_configuration
+        self.held = create_held_bytes(settings.memory_mb)
         self.metrics = create_front_metrics()
         self.limits = FleetLimits(
             create_retry_allowance(settings.bounds),
@@ -157,7 +159,7 @@
         """Begin service."""
         listen = self.settings.listen
         application = create_front_application(
-            self._serve, self.server.malformed, lambda: self.stopping
+            self._serve, self.server.malformed, lambda: self.stopping, self.held
         )
         self._servers = [
             create_front_server(listen.callers, application),
--- a/quetzalwall/process/front_interfaces.py
+++ b/quetzalwall/process/front_interfaces.py
@@ -162,6 +162,7 @@
     front.metrics.set_gauge("instances_live", len(front.fleet.live()))
     front.metrics.set_gauge("endpoints", len(front.endpoints))
     front.metrics.set_gauge("config_version", cfg.version if cfg else 0)
+    front.metrics.set_gauge("held_bytes", front.held.held)
     front.metrics.set_gauge("resident_bytes", front.self_watch.resident)
     front.metrics.set_gauge("event_loop_held_seconds", front.self_watch.held_s)
     raw = front.metrics.render()
--- a/quetzalwall/request/serve.py
+++ b/quetzalwall/request/serve.py
@@ -6,6 +6,7 @@
 
 from quetzalwall.connection.caller import (
     CallerLeft,
+    NoMemory,
     is_closed,
     read_body,
     watch_caller,
@@ -30,7 +31,7 @@
 )
 from quetzalwall.request.run_once import run_once
 from quetzalwall.request.whole_answer import Answer
-from quetzalwall.request.work import Ended, Request, object_code
+from quetzalwall.request.work import Ended, Request, graver, object_code
 from quetzalwall.version.model import find_route
 
 __all__ = ["RequestServer", "create_request_server"]
@@ -39,6 +40,7 @@
 UNREADY_RETRY_S = 0.5
 FAILED_RETRY_S = 0.2
 FIRST_FAILURE = 500  # status from which on an answer says that the endpoint failed
+MEMORY_RETRY_S = 1.0
 STOPPING_RETRY_S = 0.05  # another instance can take it at once
 LEAST_USEFUL_S = 0.02  # with less left, another attempt can't be answered
 LOG = get_logger("request")
@@ -166,7 +168,13 @@
         if route is None:
             log_no_route(facts, host, path, cfg.version)
             raise BadRequest(404, f"no route for {host}{path[:80]}")
-        body = read_body(environ, cfg.limits.body_bytes)
+        hold = environ["quetzalwall.hold"]
+        try:
+            body = read_body(environ, cfg.limits.body_bytes, hold)
+        except NoMemory:
+            return self._refuse(
+                facts, route.name, "admission", "no memory", MEMORY_RETRY_S
+            )
         limit_s = least(facts.wait_s, route.timeout_s)
         return Request(
             facts=facts,
@@ -180,6 +188,7 @@
             arrived=arrived,
             deadline=arrived + min(limit_s, DEFAULT_WAIT_S),
             sock=environ.get("quetzalwall.socket"),
+            hold=hold,
         )
 
     def _run(self, req, taking_s):
@@ -209,7 +218,7 @@
             try:
                 answer = self._attempt(req, choice, hopeless)
             except EndpointError as exc:
-                failure = _graver(failure, exc)
+                failure = graver(failure, exc)
                 self._note_failure(req, exc, choice.state)
                 continue
             poor = Ended(answer, "answered", choice.state.name)
@@ -284,6 +293,7 @@
             req.facts.request_id,
             req.route.idempotent,
             hopeless,
+            req.hold,
         )
         opened = state.client.opened
         state.own_open += 1
@@ -354,13 +364,6 @@
         log_failure(req, exc, state.name)
 
 
-def _graver(failure, exc):
-    """Return the failure that leaves more open; what may have run is not "not run"."""
-    if failure is None or isinstance(failure, NotRun):
-        return exc
-    return failure
-
-
 def create_request_server(
     dialect, knowledge, chooser, durations, limits, claims, metrics, monotonic
 ):
--- a/quetzalwall/request/work.py
+++ b/quetzalwall/request/work.py
@@ -4,9 +4,10 @@
 
 import xxhash
 
+from quetzalwall.exceptions import NotRun
 from quetzalwall.request.whole_answer import Answer
 
-__all__ = ["Ended", "Request", "object_code"]
+__all__ = ["Ended", "Request", "graver", "object_code"]
 
 
 class Request(NamedTuple):
@@ -32,6 +33,8 @@
         Monotonic seconds.
     sock : gevent.socket.socket or None
         The caller's connection.
+    hold : Hold
+        Counts the bytes of its body and answers.
     """
 
     facts: object
@@ -45,6 +48,7 @@
     arrived: float
     deadline: float
     sock: object
+    hold: object
 
 
 class Ended(NamedTuple):
@@ -65,6 +69,25 @@
     endpoint: str = ""
 
 
+def graver(failure, exc):
+    """Return the failure that leaves more open; what may have run is not "not run".
+
+    Parameters
+    ----------
+    failure : EndpointError or None
+        Failure of an earlier attempt.
+    exc : EndpointError
+        Failure of the last one.
+
+    Returns
+    -------
+    EndpointError
+    """
+    if failure is None or isinstance(failure, NotRun):
+        return exc
+    return failure
+
+
 def object_code(route, facts):
     """Return the code of the object that a request concerns.
 
--- a/standins/served_endpoint.py
+++ b/standins/served_endpoint.py
@@ -6,7 +6,8 @@
 ``extra`` (a second answer after each), ``late`` (the same, a little later), ``early``
 (answer before the body is read),
 ``lose`` (run, then reset), ``error`` (run, then answer 500),
-``other`` (expect another identity) and ``slow_s``.
+``other`` (expect another identity), ``slow_s``, and ``longer`` (bytes to add to
+answers).
 """
 
 import re
@@ -124,6 +125,7 @@
         if self.behaviour.get("lose"):
             return False
         text = f"{self.name} {request_id} {len(body)}\n".encode()
+        text += b"x" * self.behaviour.get("longer", 0)
         load = f"{self._open},0,{self.slots},100"
         if self.behaviour.get("error"):
             _answer(sock, 500, text, request_id, load)
