--- a/quetzalwall/platform/rows.py
+++ b/quetzalwall/platform/rows.py
@@ -1,5 +1,6 @@
 """Decode the platform's rows into the project's types."""
 
+import ipaddress
 import math
 import re
 
@@ -34,6 +35,7 @@
 KINDS = {"safe": True, "unsafe": False, "upload": False}  # whether it may run twice
 STATES = {"ready": False, "draining": True}  # whether the endpoint is leaving
 DURATION = re.compile(r"(-?\d+(?:\.\d+)?)(ms|s)")
+HIGHEST_PORT = 65535
 DEFAULT_ATTEMPTS = 2
 DEFAULT_TARGET_S = 1.0
 DEFAULT_RANK = 5
@@ -220,7 +222,8 @@
     slots = record["slots"]
     if isinstance(slots, bool) or not isinstance(slots, int) or slots < 1:
         raise RowError(f"slots {slots!r}", step="decode row")
-    if not re.fullmatch(r"\d{1,3}(\.\d{1,3}){3}", host):
+    ipaddress.IPv4Address(host)
+    if not 1 <= int(port) <= HIGHEST_PORT:
         raise RowError(f"address {record['address']!r}", step="decode row")
     born = record.get("born", 0)
     if isinstance(born, bool) or not isinstance(born, int):
--- a/quetzalwall/process/knowledge/fleet.py
+++ b/quetzalwall/process/knowledge/fleet.py
@@ -17,6 +17,7 @@
     decode_report,
     encode_report,
 )
+from quetzalwall.process.tasks import repeat
 
 __all__ = ["Fleet", "create_fleet"]
 
@@ -68,9 +69,13 @@
     def start(self):
         """Begin to send and to listen."""
         sock = gevent.socket.socket(gevent.socket.AF_INET, gevent.socket.SOCK_DGRAM)
-        sock.bind((self.card.host, self._port))
+        try:
+            sock.bind((self.card.host, self._port))
+        except OSError:
+            sock.close()
+            raise
         self._sock = sock
-        self._tasks = [gevent.spawn(self._listen), gevent.spawn(self._report)]
+        self._tasks = [repeat(self._receive_next, 0), repeat(self._report, PERIOD_S)]
 
     def close(self):
         """Stop."""
@@ -292,25 +297,22 @@
                 state.peer_open += count
                 peer.open[code] = count
 
-    def _listen(self):
-        while True:
-            raw, _ = self._sock.recvfrom(MOST_DATAGRAM_BYTES)
-            try:
-                report = decode_report(raw)
-            except msgspec.DecodeError as exc:
-                log_event(LOG, "bad-datagram", "warning", reason=str(exc))
-                continue
-            self.receive(report, self._monotonic())
+    def _receive_next(self):
+        raw, _ = self._sock.recvfrom(MOST_DATAGRAM_BYTES)
+        try:
+            report = decode_report(raw)
+        except msgspec.DecodeError as exc:
+            log_event(LOG, "bad-datagram", "warning", reason=str(exc))
+            return
+        self.receive(report, self._monotonic())
 
     def _report(self):
-        while True:
-            now = self._monotonic()
-            self.expire(now)
-            for report, cards in self.due_reports(now):
-                raw = encode_report(report)
-                for card in cards:
-                    self._send(raw, card.host)
-            gevent.sleep(PERIOD_S)
+        now = self._monotonic()
+        self.expire(now)
+        for report, cards in self.due_reports(now):
+            raw = encode_report(report)
+            for card in cards:
+                self._send(raw, card.host)
 
     def _send(self, raw, host):
         try:
--- a/quetzalwall/process/knowledge/store_watch.py
+++ b/quetzalwall/process/knowledge/store_watch.py
@@ -6,6 +6,7 @@
 from quetzalwall.logs import get_logger, log_event
 from quetzalwall.platform.store import HistoryGone
 from quetzalwall.process.knowledge.readers import ahead_of, follows_store
+from quetzalwall.process.tasks import repeat
 
 __all__ = ["TableWatch", "create_table_watch"]
 
@@ -64,7 +65,7 @@
 
     def start(self):
         """Begin to follow."""
-        self._task = gevent.spawn(self._run)
+        self._task = repeat(self._round, 0)
 
     def close(self):
         """Stop following."""
@@ -80,23 +81,22 @@
         """
         return self.lost and self._monotonic() - self.contact > AWAY_AFTER_S
 
-    def _run(self):
-        while True:
-            try:
-                if self.loaded and not follows_store(self._fleet):
-                    self._follow_peers()
-                    gevent.sleep(PEER_PAUSE_S)
-                    continue
-                self._step()
-                gevent.sleep(PAUSE_S)
-            except HistoryGone:
-                log_event(LOG, "history-gone", "warning", table=self._table)
-                self._version = None
-            except StoreError as exc:
-                self._note_lost(exc)
-                self._take_from_peer()
-                gevent.sleep(self._pause_s)
-                self._pause_s = min(RETRY_MOST_S, 2 * self._pause_s)
+    def _round(self):
+        try:
+            if self.loaded and not follows_store(self._fleet):
+                self._follow_peers()
+                gevent.sleep(PEER_PAUSE_S)
+                return
+            self._step()
+            gevent.sleep(PAUSE_S)
+        except HistoryGone:
+            log_event(LOG, "history-gone", "warning", table=self._table)
+            self._version = None
+        except StoreError as exc:
+            self._note_lost(exc)
+            self._take_from_peer()
+            gevent.sleep(self._pause_s)
+            self._pause_s = min(RETRY_MOST_S, 2 * self._pause_s)
 
     def _step(self):
         whole = self._version is None
@@ -106,8 +106,9 @@
             rows = self._store.follow(self._table, self._version, FEED_WAIT_S)
         away = self.away()
         self._note_contact()
-        self._version = rows.version
+        # A failure to take rows over has them read again.
         self._on_rows(rows, whole, away)
+        self._version = rows.version
         self.loaded = True
 
     def _follow_peers(self):
@@ -124,8 +125,8 @@
         rows, whole = found
         if rows.version <= (self._version or 0):
             return
-        self._version = rows.version
         self._on_rows(rows, whole, False)
+        self._version = rows.version
         self.loaded = True
         log_event(LOG, "from-peer", table=self._table, version=rows.version)
 
--- a/quetzalwall/process/storage/write_batcher.py
+++ b/quetzalwall/process/storage/write_batcher.py
@@ -12,6 +12,7 @@
 from gevent.queue import Empty, Queue
 
 from quetzalwall.exceptions import StoreUnavailable
+from quetzalwall.process.tasks import repeat
 
 __all__ = ["RowWrite", "WriteBatcher", "WriteResult", "create_write_batcher"]
 
@@ -88,7 +89,7 @@
 
     def start(self):
         """Begin to send."""
-        self._tasks = [gevent.spawn(self._run) for _ in range(BATCHES_IN_FLIGHT)]
+        self._tasks = [repeat(self._round, 0) for _ in range(BATCHES_IN_FLIGHT)]
 
     def close(self):
         """Stop sending; writes that wait get no result."""
@@ -130,11 +131,10 @@
             message = "no answer in time"
             raise StoreUnavailable(message, "write row", "table") from None
 
-    def _run(self):
-        while True:
-            batch = self._gather()
-            while batch:
-                batch = self._send(batch)
+    def _round(self):
+        batch = self._gather()
+        while batch:
+            batch = self._send(batch)
 
     def _gather(self):
         batch = [self._queue.get()]
--- a/quetzalwall/process/tasks.py
+++ b/quetzalwall/process/tasks.py
@@ -6,6 +6,7 @@
 
 __all__ = ["repeat"]
 
+FAILED_PAUSE_S = 0.5  # at least, after a round that failed
 LOG = get_logger("tasks")
 
 
@@ -17,7 +18,7 @@
     step : callable
         One round; an exception that it raises is logged and does not end the task.
     pause_s : float or callable returning float
-        Seconds between two rounds.
+        Seconds between two rounds; 0 lets other tasks run.
 
     Returns
     -------
@@ -33,4 +34,5 @@
         except Exception as exc:
             name = getattr(step, "__qualname__", str(step))
             log_event(LOG, "failed", "error", task=name, **describe_failure(exc))
+            gevent.sleep(FAILED_PAUSE_S)
         gevent.sleep(pause_s() if callable(pause_s) else pause_s)
--- /dev/null
+++ b/quetzalwall/process/tests/test_tasks.py
@@ -0,0 +1,72 @@
+import gevent
+import msgspec
+
+from quetzalwall.process.knowledge.fleet import SILENT_AFTER_S
+from quetzalwall.process.tasks import repeat
+from quetzalwall.tests.platform_fixtures import (
+    config_body,
+    entry_body,
+    running_site,
+    wait_for,
+)
+
+
+def test_a_failed_round_does_not_end_a_task_and_is_not_tried_at_once_again():
+    rounds = []
+
+    def step():
+        rounds.append(1)
+        raise KeyError("unforeseen")
+
+    task = repeat(step, 0)
+    gevent.sleep(0.7)
+    assert not task.ready()
+    task.kill()
+    assert len(rounds) == 2
+
+
+# A task ended by an unforeseen exception: the instance ran on and learned nothing new.
+def test_an_instance_hears_others_after_an_unforeseen_failure():
+    with running_site(fronts=2) as site:
+        front = site.fronts[0]
+        receive = front.fleet.receive
+
+        def fail_once(report, now):
+            front.fleet.receive = receive
+            raise RuntimeError("unforeseen")
+
+        front.fleet.receive = fail_once
+        wait_for(lambda: front.fleet.receive is receive)
+        gevent.sleep(SILENT_AFTER_S + 0.5)
+        assert len(front.fleet.live()) == 2
+
+
+def test_a_configuration_comes_into_force_after_an_unforeseen_failure():
+    with running_site() as site:
+        knowledge = site.fronts[0].knowledge
+        apply = knowledge.apply
+
+        def fail_once(*args):
+            knowledge.apply = apply
+            raise RuntimeError("unforeseen")
+
+        knowledge.apply = fail_once
+        site.write_config(config_body(2))
+        wait_for(lambda: knowledge.configuration().version == 2)
+
+
+# An entry whose address no socket takes ended the task that follows all endpoints.
+def test_an_entry_with_an_impossible_address_names_no_endpoint():
+    with running_site(endpoints=1) as site:
+        for number, address in enumerate(
+            ("300.1.1.1:80", "127.0.0.1:70000", "1.1.1.1:0")
+        ):
+            host, port = address.split(":")
+            body = entry_body((host, port))
+            site.store.put("servers", f"bad-{number}", msgspec.json.encode(body))
+        site.write_config(config_body(2))
+        front = site.fronts[0]
+        wait_for(lambda: front.knowledge.configuration().version == 2)
+        assert [state.name for state in front.endpoints] == ["ep-0"]
+        for number in range(5):
+            assert site.get(f"/look/{number}")[0] == 200
