--- a/quetzalwall/exceptions.py
+++ b/quetzalwall/exceptions.py
@@ -7,6 +7,7 @@
 __all__ = [
     "EndpointError",
     "IncompleteAnswer",
+    "ListenError",
     "NotConnected",
     "NotRun",
     "OutcomeUnknown",
@@ -55,6 +56,10 @@
         self.faults = tuple(faults)
 
 
+class ListenError(QuetzalwallError):
+    """An address that the process needs can't be listened on."""
+
+
 class SettingsConflict(QuetzalwallError):
     """A subtree changed since the version that a change was made from.
 
--- a/quetzalwall/process/front.py
+++ b/quetzalwall/process/front.py
@@ -5,7 +5,6 @@
 
 import gevent
 import gevent.event
-import msgspec
 from gevent import signal_handler
 
 from quetzalwall.clock import system_clock
@@ -16,10 +15,9 @@
 from quetzalwall.connection.held_bytes import create_held_bytes
 from quetzalwall.connection.json_call import create_json_client
 from quetzalwall.connection.product_headers import PRODUCT_DIALECT
-from quetzalwall.exceptions import PeerError, SettingsError, StoreError
+from quetzalwall.exceptions import PeerError, SettingsError
 from quetzalwall.logs import describe_failure, get_logger, log_event
 from quetzalwall.platform.headers import PLATFORM_DIALECT
-from quetzalwall.platform.rows import INSTANCES_TABLE
 from quetzalwall.platform.settings import FROM_TREE, format_places, read_settings
 from quetzalwall.platform.store import create_store_client
 from quetzalwall.process.front_interfaces import create_interfaces
@@ -40,6 +38,8 @@
 from quetzalwall.process.limits.retry_allowance import create_retry_allowance
 from quetzalwall.process.limits.shifting import create_shifts
 from quetzalwall.process.limits.weighted_split import create_weighted_split
+from quetzalwall.process.listeners import open_in_background, open_listener
+from quetzalwall.process.registration import register, unregister
 from quetzalwall.process.self_watch import PERIOD_S, create_self_watch
 from quetzalwall.process.storage.operators import create_operators
 from quetzalwall.process.storage.store_table import create_store_table
@@ -56,7 +56,6 @@
 SETTINGS_PERIOD_S = 1.0
 STORE_TIMEOUT_S = 1.2
 PEER_TIMEOUT_S = 0.8
-REGISTER_RETRY_S = 1.0
 ACCEPT_PART = 0.4  # of the grace, in which a stopping instance takes requests
 LEAVE_PART = 0.7  # of the grace, before which a stopping instance does not end
 END_PART = 0.92  # of the grace, after which it ends whatever is under way
@@ -161,19 +160,22 @@
         application = create_front_application(
             self._serve, self.server.malformed, lambda: self.stopping, self.held
         )
-        self._servers = [
-            create_front_server(listen.callers, application),
-            *create_interfaces(self),
-        ]
-        for server in self._servers:
-            server.start()
-        self.fleet.start()
+        self._servers = {
+            "callers": create_front_server(listen.callers, application),
+            **create_interfaces(self),
+        }
+        for name, server in self._servers.items():
+            if name != "metrics":
+                self._open(name, getattr(listen, name), server.start)
+        peers = (self.settings.address, self.settings.peer_port)
+        self._open("datagrams", peers, self.fleet.start)
         for watch in self._watches.values():
             watch.start()
         if self._batcher is not None:
             self._batcher.start()
         self._tasks = [
-            gevent.spawn(self._register),
+            gevent.spawn(register, self._store, self.fleet),
+            self._open_metrics(),
             repeat(self._tick, TICK_S),
             repeat(self._check_settings, SETTINGS_PERIOD_S),
             repeat(self.self_watch.look, PERIOD_S),
@@ -190,6 +192,13 @@
             connections=self.settings.connections,
         )
 
+    def _open(self, name, place, start):
+        open_listener(name, place, start, self.clock.monotonic)
+
+    def _open_metrics(self):
+        place = self.settings.listen.metrics
+        return open_in_background("metrics", place, self._servers["metrics"].start)
+
     def wait(self):
         """Wait until the instance has stopped."""
         self._stopped.wait()
@@ -202,7 +211,7 @@
         self.stopping = self.server.stopping = True
         self.fleet.leaving = True
         log_event(LOG, "stopping", in_flight=self.in_flight)
-        gevent.spawn(self._unregister)
+        gevent.spawn(unregister, self._store, self.fleet)
         grace_s = self.settings.bounds.grace_s
         end = began + END_PART * grace_s
         gevent.sleep(LEAVE_PART * grace_s)
@@ -219,7 +228,7 @@
 
     def _answer_accepted(self):
         """Accept no connection any more, and answer on those that were accepted."""
-        self._servers[0].close()
+        self._servers["callers"].close()
         gevent.sleep(LAST_LOOK_S)
 
     def close(self):
@@ -230,7 +239,7 @@
         if self._batcher is not None:
             self._batcher.close()
         self.fleet.close()
-        for server in self._servers:
+        for server in self._servers.values():
             server.stop(timeout=0)
         self.endpoints.close()
         self._store.close()
@@ -307,35 +316,6 @@
         finally:
             client.close()
 
-    def _register(self):
-        """Write this instance's row, then learn of the others.
-
-        In this order, of two instances that start at once one sees the other.
-        """
-        card = msgspec.json.encode(self.fleet.card)
-        while True:
-            try:
-                self._store.put(INSTANCES_TABLE, self.settings.instance, card)
-                listed = self._store.read(INSTANCES_TABLE).rows
-                self._introduce({row.key: row.value for row in listed})
-                return
-            except StoreError as exc:
-                log_event(LOG, "not-registered", "warning", reason=exc.message)
-                gevent.sleep(REGISTER_RETRY_S)
-
-    def _introduce(self, known):
-        for name, value in known.items():
-            try:
-                self.fleet.introduce(msgspec.json.decode(value, type=PeerCard))
-            except msgspec.DecodeError as exc:
-                log_event(LOG, "bad-instance", "warning", row=name, reason=str(exc))
-
-    def _unregister(self):
-        try:
-            self._store.put(INSTANCES_TABLE, self.settings.instance, None)
-        except StoreError as exc:
-            log_event(LOG, "not-unregistered", "warning", reason=exc.message)
-
     def _tick(self):
         self.endpoints.drop_lapsed()
         for state in self.endpoints:
--- a/quetzalwall/process/front_interfaces.py
+++ b/quetzalwall/process/front_interfaces.py
@@ -16,6 +16,7 @@
 
 __all__ = ["create_interfaces"]
 
+METRICS_PATH = "/metrics"
 LOOKUP_TTL_S = 2.0
 LOOKUP_ANSWERS = 3  # instances named; a caller needs another when one fails
 LOG = get_logger("front")
@@ -31,21 +32,25 @@
 
     Returns
     -------
-    list of NoDelayServer
+    dict of str to NoDelayServer
+        By the name of the listener in the settings.
     """
     listen = front.settings.listen
-    return [
-        create_server(*place, partial(answer, front))
-        for place, answer in (
-            (listen.health, _health),
-            (listen.lookup, _ask),
-            (listen.peers, _export),
-            (listen.metrics, _metrics),
-        )
-    ]
+    answers = {
+        "health": _health,
+        "lookup": _ask,
+        "peers": _export,
+        "metrics": _metrics,
+    }
+    return {
+        name: create_server(*getattr(listen, name), partial(answer, front))
+        for name, answer in answers.items()
+    }
 
 
 def _health(front, environ, start_response):
+    if environ["PATH_INFO"] == METRICS_PATH:
+        return _metrics(front, environ, start_response)
     if environ["PATH_INFO"] != READY_PATH:
         return json_answer(start_response, 404, {"error": "no such path"})
     ready = front.knowledge.ready() and not front.stopping
