--- a/quetzalwall/__main__.py
+++ b/quetzalwall/__main__.py
@@ -1,10 +1,16 @@
 """Run the command line with ``python -m quetzalwall``."""
 
+import signal
 import sys
 
+DAEMON = "front"
 LIBRARY_MISSING = 1  # exit status
 
-if __name__ == "__main__":
+
+def _run():
+    if sys.argv[1:2] == [DAEMON]:
+        # Would end the process until its handler is there, which takes a while.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         from quetzalwall.cli.main import main
     except ImportError as exc:
@@ -13,5 +19,9 @@
             "run the build of the deploy file, or pip install",
             file=sys.stderr,
         )
-        sys.exit(LIBRARY_MISSING)
-    sys.exit(main())
+        return LIBRARY_MISSING
+    return main()
+
+
+if __name__ == "__main__":
+    sys.exit(_run())
