--- a/quetzalwall/cli/tests/test_cli.py
+++ b/quetzalwall/cli/tests/test_cli.py
@@ -77,6 +77,20 @@
     assert run("settings")[0] == 2
 
 
+def test_check_knows_all_that_a_deploy_file_may_hold():
+    text = 'build = "true"\n{}\n[roles.a]\nrun = "x"\non = "front"\n'
+    text += 'serves = ["front", "directory"]\n'
+    for line, fault in (
+        ('packages = ["python3"]', ""),
+        ("packages = 3", "/packages: must be a list of names (value: 3)"),
+        ("biuld = 1", "/biuld: unknown key (value: 1)"),
+    ):
+        with file_with(text.format(line)) as name:
+            status, _, err = run("settings", "check", "--kind", "deploy", name)
+        assert status == (2 if fault else 0)
+        assert fault in err
+
+
 def test_commands_of_a_session():
     with small_deployment(names=["east-1"]) as deployment:
         common = ["--instance", place(deployment)]
--- a/quetzalwall/platform/deploy.py
+++ b/quetzalwall/platform/deploy.py
@@ -8,6 +8,7 @@
 __all__ = ["check_deploy"]
 
 SERVED = frozenset(("front", "control", "directory"))
+TOP_KEYS = frozenset(("build", "packages", "roles"))
 ROLE_KEYS = {
     "run": str,
     "on": str,
@@ -47,6 +48,14 @@
     faults = []
     if not isinstance(body.get("build"), str):
         faults.append(Fault(file, "/build", str(body.get("build")), "must be text"))
+    packages = body.get("packages", [])
+    if not isinstance(packages, list) or not all(
+        isinstance(name, str) for name in packages
+    ):
+        reason = "must be a list of names"
+        faults.append(Fault(file, "/packages", str(packages), reason))
+    for key in sorted(body.keys() - TOP_KEYS):
+        faults.append(Fault(file, f"/{key}", str(body[key])[:80], "unknown key"))
     roles = body.get("roles")
     if not isinstance(roles, dict) or not roles:
         return [*faults, Fault(file, "/roles", str(roles), "must name a role")]
--- a/quetzalwall/platform/settings.py
+++ b/quetzalwall/platform/settings.py
@@ -208,7 +208,7 @@
     SettingsError
         Names every fault, each with file, path and value.
     """
-    body = load_json(file)
+    body = _given(load_json(file))
     validator = jsonschema.Draft202012Validator(SCHEMA)
     faults = [_fault(file, error) for error in validator.iter_errors(body)]
     bounds = {}
@@ -232,12 +232,19 @@
         store=parse_place(body["store"]),
         link_mbps=float(body.get("link_mbps", DEFAULT_LINK_MBPS)),
         memory_mb=float(body.get("memory_mb", DEFAULT_MEMORY_MB)),
-        connections=body.get("connections", DEFAULT_CONNECTIONS),
+        connections=int(body.get("connections", DEFAULT_CONNECTIONS)),
         configuration=body.get("configuration", FROM_OPERATORS),
         bounds=Bounds(**bounds),
     )
 
 
+def _given(body):
+    """Return a body without the fields for which the platform has no value."""
+    if not isinstance(body, dict):
+        return body
+    return {name: value for name, value in body.items() if value is not None}
+
+
 def parse_place(text):
     """Return the IP number and port of ``"IP:PORT"``.
 
--- a/quetzalwall/platform/tests/test_settings.py
+++ b/quetzalwall/platform/tests/test_settings.py
@@ -62,3 +62,27 @@
     for name in body():
         assert f'"{name}"' in text, name
     assert json.dumps("callers") in text
+
+
+# A template gives null for what an installation lacks; the instance did not start.
+@params("seeds", "link_mbps", "memory_mb", "connections", "bounds", "configuration")
+def test_a_field_without_a_value_counts_as_not_given(name):
+    whole, without, null = (write_settings(b) for b in _variants(name))
+    try:
+        assert read_settings(null) == read_settings(without) != read_settings(whole)
+    finally:
+        for file in (whole, without, null):
+            os.unlink(file)
+
+
+def _variants(name):
+    values = {"memory_mb": 77.0, "connections": 77, "seeds": ["127.0.0.1:9"]}
+    values |= {"link_mbps": 7.0, "bounds": {"grace": "1s"}, "configuration": "tree"}
+    without = {key: value for key, value in body().items() if key != name}
+    return body() | {name: values[name]}, without, body() | {name: None}
+
+
+@params("instance", "address", "listen", "peer_ports", "store")
+def test_a_required_field_without_a_value_is_a_fault(name):
+    _, faults = faults_of(body() | {name: None})
+    assert len(faults) == 1 and f"'{name}' is a required property" in faults[0].message
