--- a/quetzalwall/connection/front_server.py
+++ b/quetzalwall/connection/front_server.py
@@ -5,6 +5,7 @@
 from quetzalwall.connection.caller import CallerLeft
 from quetzalwall.connection.http_server import (
     BadRequest,
+    HttpLimits,
     QuietHandler,
     create_server,
     status_line,
@@ -97,7 +98,7 @@
     start_response(status_line(status), headers)
 
 
-def create_front_server(place, application):
+def create_front_server(place, application, connections):
     """Return the server for callers, not yet started.
 
     Parameters
@@ -106,9 +107,12 @@
         IP number and port.
     application : callable
         WSGI application.
+    connections : int
+        Connections open at once; further ones wait to be accepted.
 
     Returns
     -------
     NoDelayServer
     """
-    return create_server(*place, application, handler=FrontHandler)
+    limits = HttpLimits(connections=connections)
+    return create_server(*place, application, limits, handler=FrontHandler)
--- a/quetzalwall/process/front_interfaces.py
+++ b/quetzalwall/process/front_interfaces.py
@@ -5,6 +5,7 @@
 
 from quetzalwall.connection.http_server import (
     BadRequest,
+    HttpLimits,
     create_server,
     json_answer,
     read_json,
@@ -14,14 +15,32 @@
 from quetzalwall.process.status import instance_status
 from quetzalwall.request.lookup import draw_by_link, order_instances
 
-__all__ = ["create_interfaces"]
+__all__ = ["create_interfaces", "most_callers"]
 
+FILE_DESCRIPTORS = 200  # for files, and what else is no connection
+CALLERS_PART = 0.5  # of the other descriptors; as many remain for endpoints
+INTERFACE_LIMITS = HttpLimits(connections=256)
 METRICS_PATH = "/metrics"
 LOOKUP_TTL_S = 2.0
 LOOKUP_ANSWERS = 3  # instances named; a caller needs another when one fails
 LOG = get_logger("front")
 
 
+def most_callers(descriptors):
+    """Return the connections that callers may have open at once.
+
+    Parameters
+    ----------
+    descriptors : int
+        Descriptors that the process may have open.
+
+    Returns
+    -------
+    int
+    """
+    return max(1, int((descriptors - FILE_DESCRIPTORS) * CALLERS_PART))
+
+
 def create_interfaces(front):
     """Return the servers of all interfaces but that for callers, not yet started.
 
@@ -43,7 +62,9 @@
         "metrics": _metrics,
     }
     return {
-        name: create_server(*getattr(listen, name), partial(answer, front))
+        name: create_server(
+            *getattr(listen, name), partial(answer, front), INTERFACE_LIMITS
+        )
         for name, answer in answers.items()
     }
 
--- a/quetzalwall/process/tests/test_listeners.py
+++ b/quetzalwall/process/tests/test_listeners.py
@@ -5,6 +5,7 @@
 
 from quetzalwall.exceptions import ListenError
 from quetzalwall.process import listeners
+from quetzalwall.process.front_interfaces import FILE_DESCRIPTORS
 from quetzalwall.tests.platform_fixtures import (
     call,
     own_address,
@@ -58,3 +59,18 @@
         assert "callers" in exc.message and f"{place[0]}:{place[1]}" in exc.message
     finally:
         listeners.LIMIT_S = limit_s
+
+
+# The descriptors of the settings were checked and not used: any machine took 4,000.
+def test_callers_beyond_the_machines_descriptors_wait_to_be_accepted():
+    with running_site() as site, ExitStack() as stack:
+        front = start_front(stack, site, 1, connections=FILE_DESCRIPTORS + 4)
+        wait_for(front.knowledge.ready)
+        place = (front.settings.address, site.ports[CALLERS])
+        kept = [stack.enter_context(socket.create_connection(place)) for _ in range(2)]
+        gevent.sleep(0.1)
+        waiting = gevent.spawn(call, *place, "/look/1")
+        gevent.sleep(0.5)
+        assert not waiting.ready()
+        kept[0].close()
+        assert waiting.get(timeout=5.0)[0] == 200
--- a/quetzalwall/tests/platform_fixtures.py
+++ b/quetzalwall/tests/platform_fixtures.py
@@ -196,14 +196,14 @@
         yield site
 
 
-def start_front(stack, site, number, seeds=()):
+def start_front(stack, site, number, seeds=(), **fields):
     """Start one more instance."""
     address = own_address(number)
     domain = ("north-a", "north-b", "south-a")[number % 3]
     body = settings_body(
         address, site.store.server.address, site.ports, f"front-{number}", domain, seeds
     )
-    file = write_settings(body)
+    file = write_settings(body | fields)
     front = create_front(read_settings(file), file, seed=number)
     front.start()
     stack.callback(front.close)
