--- a/quetzalwall/process/front.py
+++ b/quetzalwall/process/front.py
@@ -20,7 +20,7 @@
 from quetzalwall.platform.headers import PLATFORM_DIALECT
 from quetzalwall.platform.settings import FROM_TREE, format_places, read_settings
 from quetzalwall.platform.store import create_store_client
-from quetzalwall.process.front_interfaces import create_interfaces, most_callers
+from quetzalwall.process.front_interfaces import create_interfaces, most_connections
 from quetzalwall.process.front_metrics import create_front_metrics
 from quetzalwall.process.knowledge.endpoint_table import create_endpoint_table
 from quetzalwall.process.knowledge.fleet import create_fleet
@@ -162,7 +162,9 @@
         )
         self._servers = {
             "callers": create_front_server(
-                listen.callers, application, most_callers(self.settings.connections)
+                listen.callers,
+                application,
+                most_connections(self.settings.connections, "callers"),
             ),
             **create_interfaces(self),
         }
--- a/quetzalwall/process/front_interfaces.py
+++ b/quetzalwall/process/front_interfaces.py
@@ -15,30 +15,32 @@
 from quetzalwall.process.status import instance_status
 from quetzalwall.request.lookup import draw_by_link, order_instances
 
-__all__ = ["create_interfaces", "most_callers"]
+__all__ = ["create_interfaces", "most_connections"]
 
 FILE_DESCRIPTORS = 200  # for files, and what else is no connection
-CALLERS_PART = 0.5  # of the other descriptors; as many remain for endpoints
-INTERFACE_LIMITS = HttpLimits(connections=256)
+# Parts of the other descriptors; what remains is for connections to endpoints.
+PARTS = {"callers": 0.5, "lookup": 0.2, "health": 0.02, "peers": 0.02, "metrics": 0.01}
 METRICS_PATH = "/metrics"
 LOOKUP_TTL_S = 2.0
 LOOKUP_ANSWERS = 3  # instances named; a caller needs another when one fails
 LOG = get_logger("front")
 
 
-def most_callers(descriptors):
-    """Return the connections that callers may have open at once.
+def most_connections(descriptors, name):
+    """Return the connections that a listener may have open at once.
 
     Parameters
     ----------
     descriptors : int
         Descriptors that the process may have open.
+    name : str
+        Name of the listener in the settings.
 
     Returns
     -------
     int
     """
-    return max(1, int((descriptors - FILE_DESCRIPTORS) * CALLERS_PART))
+    return max(1, int((descriptors - FILE_DESCRIPTORS) * PARTS[name]))
 
 
 def create_interfaces(front):
@@ -54,19 +56,19 @@
     dict of str to NoDelayServer
         By the name of the listener in the settings.
     """
-    listen = front.settings.listen
+    settings = front.settings
     answers = {
         "health": _health,
         "lookup": _ask,
         "peers": _export,
         "metrics": _metrics,
     }
-    return {
-        name: create_server(
-            *getattr(listen, name), partial(answer, front), INTERFACE_LIMITS
-        )
-        for name, answer in answers.items()
-    }
+    servers = {}
+    for name, answer in answers.items():
+        limits = HttpLimits(connections=most_connections(settings.connections, name))
+        place = getattr(settings.listen, name)
+        servers[name] = create_server(*place, partial(answer, front), limits)
+    return servers
 
 
 def _health(front, environ, start_response):
