--- a/quetzalwall/connection/endpoint_client.py
+++ b/quetzalwall/connection/endpoint_client.py
@@ -15,9 +15,8 @@
 from geventhttpclient.response import HTTPParseError
 
 from quetzalwall.connection.answer_parser import AnswerParser
-from quetzalwall.connection.fair_socket import connect
 from quetzalwall.connection.held_bytes import Hold
-from quetzalwall.connection.nodelay import readable_now
+from quetzalwall.connection.nodelay import connect, readable_now
 from quetzalwall.exceptions import (
     IncompleteAnswer,
     NotConnected,
--- a/quetzalwall/connection/fair_socket.py
+++ b/quetzalwall/connection/fair_socket.py
@@ -2,15 +2,13 @@
 
 A read of gevent returns at once while bytes wait. A peer that sends faster than its
 bytes are parsed would so hold the event loop, and with it every timer: no deadline,
-health answer or signal. The sockets of all clients come from here.
+health answer or signal. All TCP connections are of this kind.
 """
 
 import gevent
 import gevent.socket
 
-from quetzalwall.connection.nodelay import set_nodelay
-
-__all__ = ["MOST_HEAD_BYTES", "FairSocket", "connect"]
+__all__ = ["MOST_HEAD_BYTES", "SHARE_PAUSE_S", "FairSocket"]
 
 SHARE_BYTES = 64 * 1024  # read before other tasks run
 SHARE_PAUSE_S = 0.0001  # gevent runs up to 50 tasks that sleep for 0 before any timer
@@ -34,40 +32,29 @@
         -------
         bytes
         """
-        if self._unshared >= SHARE_BYTES:
-            self._unshared = 0
-            gevent.sleep(SHARE_PAUSE_S)
+        self._share()
         data = super().recv(*args)
         self._unshared += len(data)
         return data
 
+    def recv_into(self, *args):
+        """Read what waits into a buffer, as `socket.socket.recv_into` does.
 
-def connect(place, timeout_s):
-    """Return a connection without Nagle's algorithm and without a time limit.
-
-    Parameters
-    ----------
-    place : (str, int)
-        IP number and port.
-    timeout_s : float
-        Seconds that opening it may take.
+        Parameters
+        ----------
+        *args
+            The buffer, most bytes to read, and flags.
 
-    Returns
-    -------
-    FairSocket
+        Returns
+        -------
+        int
+        """
+        self._share()
+        size = super().recv_into(*args)
+        self._unshared += size
+        return size
 
-    Raises
-    ------
-    OSError
-        Nobody accepts it in time.
-    """
-    sock = FairSocket(gevent.socket.AF_INET, gevent.socket.SOCK_STREAM)
-    try:
-        sock.settimeout(timeout_s)
-        sock.connect(place)
-        set_nodelay(sock)
-        sock.settimeout(None)
-    except BaseException:
-        sock.close()
-        raise
-    return sock
+    def _share(self):
+        if self._unshared >= SHARE_BYTES:
+            self._unshared = 0
+            gevent.sleep(SHARE_PAUSE_S)
--- a/quetzalwall/connection/http_server.py
+++ b/quetzalwall/connection/http_server.py
@@ -2,10 +2,12 @@
 
 from typing import NamedTuple
 
+import gevent
 import msgspec
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIHandler
 
+from quetzalwall.connection.fair_socket import SHARE_PAUSE_S
 from quetzalwall.connection.nodelay import NoDelayServer
 
 __all__ = [
@@ -39,6 +41,7 @@
 }
 STALL_TIMEOUT_S = 60.0  # for a caller that neither sends nor reads
 SMALL_BYTES = 8 * 1024
+SHARE_REQUESTS = 32  # of one connection, before other tasks run
 
 
 class HttpLimits(NamedTuple):
@@ -77,6 +80,7 @@
     """Handler that keeps requests out of the log and closes stalled connections."""
 
     _held = None
+    _requests = 0
 
     def handle(self):
         """Serve one connection."""
@@ -93,6 +97,10 @@
         -------
         str
         """
+        self._requests += 1
+        if self._requests % SHARE_REQUESTS == 0:
+            # Requests that are answered here may come without end and without a wait.
+            gevent.sleep(SHARE_PAUSE_S)
         try:
             return super().read_requestline()
         except TimeoutError:
--- a/quetzalwall/connection/nodelay.py
+++ b/quetzalwall/connection/nodelay.py
@@ -9,7 +9,9 @@
 import gevent.socket
 from gevent.pywsgi import WSGIServer
 
-__all__ = ["NoDelayServer", "readable_now", "set_nodelay"]
+from quetzalwall.connection.fair_socket import FairSocket
+
+__all__ = ["NoDelayServer", "connect", "readable_now", "set_nodelay"]
 
 
 def set_nodelay(sock):
@@ -42,7 +44,22 @@
 
 
 class NoDelayServer(WSGIServer):
-    """WSGI server whose accepted sockets have TCP_NODELAY set."""
+    """WSGI server whose accepted sockets are fair and have TCP_NODELAY set."""
+
+    def do_read(self):
+        """Accept a connection.
+
+        Returns
+        -------
+        (FairSocket, tuple) or None
+            The connection and the address of its peer; None if none waits.
+        """
+        accepted = super().do_read()
+        if accepted is None:
+            return None
+        sock, address = accepted
+        kind = sock.family, sock.type, sock.proto
+        return FairSocket(*kind, fileno=sock.detach()), address
 
     def handle(self, sock, address):
         """Serve one accepted connection.
@@ -56,3 +73,34 @@
         """
         set_nodelay(sock)
         super().handle(sock, address)
+
+
+def connect(place, timeout_s):
+    """Return a connection without Nagle's algorithm and without a time limit.
+
+    Parameters
+    ----------
+    place : (str, int)
+        IP number and port.
+    timeout_s : float
+        Seconds that opening it may take.
+
+    Returns
+    -------
+    FairSocket
+
+    Raises
+    ------
+    OSError
+        Nobody accepts it in time.
+    """
+    sock = FairSocket(gevent.socket.AF_INET, gevent.socket.SOCK_STREAM)
+    try:
+        sock.settimeout(timeout_s)
+        sock.connect(place)
+        set_nodelay(sock)
+        sock.settimeout(None)
+    except BaseException:
+        sock.close()
+        raise
+    return sock
--- a/quetzalwall/connection/tests/test_endless_answers.py
+++ b/quetzalwall/connection/tests/test_endless_answers.py
@@ -5,14 +5,13 @@
 import time
 from contextlib import contextmanager
 
-import gevent
 from nose2.tools import params
 
 from quetzalwall.connection.endpoint_client import Exchange, create_endpoint_client
 from quetzalwall.connection.json_call import create_json_client
 from quetzalwall.exceptions import IncompleteAnswer, OutcomeUnknown, PeerError
 from quetzalwall.platform.headers import answer_facts
-from quetzalwall.process.self_watch import resident_bytes
+from quetzalwall.tests.platform_fixtures import Beat
 
 ID = "X-Quetzalwall-Request-Id"
 LIMIT_S = 1.5  # the deadline of each request
@@ -64,28 +63,6 @@
         process.communicate()
 
 
-class Beat:
-    """Measures how long the event loop is held, and the memory meanwhile."""
-
-    def __init__(self):
-        self.held_s = 0.0
-        self.began = self.most = resident_bytes()
-        self._task = gevent.spawn(self._run)
-        gevent.sleep(0.05)
-
-    def _run(self):
-        while True:
-            asked = time.monotonic()
-            gevent.sleep(0.01)
-            self.held_s = max(self.held_s, time.monotonic() - asked - 0.01)
-            self.most = max(self.most, resident_bytes())
-
-    def stop(self):
-        gevent.sleep(0.02)
-        self._task.kill()
-        return self.held_s, self.most - self.began
-
-
 # An instance grew to 807 MB and stood still for 21 s over one such answer.
 @params(*ENDLESS)
 def test_an_endless_answer_costs_neither_the_event_loop_nor_the_memory(pattern):
--- a/quetzalwall/tests/platform_fixtures.py
+++ b/quetzalwall/tests/platform_fixtures.py
@@ -5,6 +5,7 @@
 import random
 import socket
 import tempfile
+import time
 from contextlib import ExitStack, contextmanager
 
 import gevent
@@ -14,6 +15,7 @@
 from quetzalwall.clock import Clock
 from quetzalwall.platform.settings import read_settings
 from quetzalwall.process.front import create_front
+from quetzalwall.process.self_watch import resident_bytes
 from standins.metadata_store import create_metadata_store
 from standins.served_endpoint import create_served_endpoint
 
@@ -35,6 +37,28 @@
         return Clock(self.monotonic, self.monotonic)
 
 
+class Beat:
+    """Measures how long the event loop is held, and the memory meanwhile."""
+
+    def __init__(self):
+        self.held_s = 0.0
+        self.began = self.most = resident_bytes()
+        self._task = gevent.spawn(self._run)
+        gevent.sleep(0.05)
+
+    def _run(self):
+        while True:
+            asked = time.monotonic()
+            gevent.sleep(0.01)
+            self.held_s = max(self.held_s, time.monotonic() - asked - 0.01)
+            self.most = max(self.most, resident_bytes())
+
+    def stop(self):
+        gevent.sleep(0.02)
+        self._task.kill()
+        return self.held_s, self.most - self.began
+
+
 def config_body(version=1, routes=None, services=("desk",)):
     """Return the body of a configuration as the operator writes it."""
     routes = routes or [
