--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -63,12 +63,16 @@
         self.paused = False
         self.stopping = False
         self.starts = 0
+        self.told_to_end = False
+        self._own_ends = 0
         self.log = tempfile.NamedTemporaryFile(  # noqa: SIM115
             "ab", suffix=f"-front-{number}.log", delete=False
         )
 
     def start(self):
         """Start the process."""
+        self._own_ends = self.own_ends()
+        self.told_to_end = False
         self.starts += 1
         self.paused = self.stopping = False
         self.process = subprocess.Popen(
@@ -77,6 +81,16 @@
             stderr=subprocess.STDOUT,
         )
 
+    def own_ends(self):
+        """Return how often the process has ended without being told to.
+
+        Returns
+        -------
+        int
+        """
+        ended = self.process is not None and self.process.poll() is not None
+        return self._own_ends + (ended and not self.told_to_end)
+
     def running(self):
         """Return whether the process runs and is not paused.
 
@@ -96,6 +110,7 @@
             The signal.
         """
         if self.process.poll() is None:
+            self.told_to_end |= number in (signal.SIGKILL, signal.SIGTERM)
             self.process.send_signal(number)
             self.paused = number == signal.SIGSTOP or (
                 self.paused and number != signal.SIGCONT
--- a/soak/run.py
+++ b/soak/run.py
@@ -37,6 +37,7 @@
     "endpoint answers twice",
     "endpoints answer late",
     "endpoint cut short",
+    "endpoint without end",
     "endpoints slow",
     "configure",
     "configure",
@@ -89,11 +90,17 @@
             self.ending = True
             gevent.joinall(callers)
             gevent.joinall(faults)
+            self._note_own_ends()
         finally:
             self.world.close()
         endpoints = [*self.world.endpoints.values(), *self.world.left.values()]
         return self.breaches + find_breaches(self.attempts, endpoints, self.calm)
 
+    def _note_own_ends(self):
+        for number, instance in enumerate(self.world.instances):
+            if ends := instance.own_ends():
+                self.breaches.append(Breach("runs on", f"{number} ended {ends} times"))
+
     def _call(self, number):
         rng = random.Random(f"{number} {self.rng.random()}")
         while not self.ending:
@@ -257,6 +264,7 @@
     "endpoint answers twice",
     "endpoints answer late",
     "endpoint cut short",
+    "endpoint without end",
     "endpoints slow",
 }
 STEPS = {
@@ -276,6 +284,7 @@
     "endpoint answers twice": lambda s, i, e, t: s._behave(e, t, extra=True),
     "endpoints answer late": lambda s, i, e, t: s._behave_all(t, late=True),
     "endpoint cut short": lambda s, i, e, t: s._behave(e, t, cut=True),
+    "endpoint without end": lambda s, i, e, t: s._behave(e, t, endless=b"a: b\r\n"),
     "endpoints slow": lambda s, i, e, t: s._behave_all(t, slow_s=0.6),
     "configure": Soak._configure,
     "older configuration": lambda s, i, e, t: s.world.configure_older(),
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -1,11 +1,13 @@
 """A short seeded soak, and each seed that once failed."""
 
+import os
+import signal
 import time
 
 from nose2.tools import params
 
 from soak.checks import Attempt, Calm, find_breaches
-from soak.run import make_schedule, run_soak
+from soak.run import Soak, make_schedule, run_soak
 
 SECONDS = 10.0
 
@@ -75,3 +77,24 @@
     cut_off = Calm([], [(gone - 5.0, gone - 3.9, 0)])
     assert _found([_attempt(200)], calm=cut_off, left_at=gone) == set()
     assert _found([_attempt(200, instance=1)], calm=cut_off, left_at=gone) == {"drain"}
+
+
+def test_a_process_that_ends_by_itself_is_a_breach():
+    soak = Soak(1, 1.0, 1)
+    try:
+        soak.world.start()
+        instance = soak.world.instances[0]
+        for number in (signal.SIGKILL, signal.SIGTERM):
+            instance.signal(number)
+            instance.process.wait()
+            instance.start()
+        soak._note_own_ends()
+        assert not soak.breaches
+        # Not through the instance, so that it was not told to end.
+        os.kill(instance.process.pid, signal.SIGKILL)
+        instance.process.wait()
+        instance.start()
+        soak._note_own_ends()
+        assert [breach.promise for breach in soak.breaches] == ["runs on"]
+    finally:
+        soak.world.close()
--- a/standins/served_endpoint.py
+++ b/standins/served_endpoint.py
@@ -6,8 +6,8 @@
 ``extra`` (a second answer after each), ``late`` (the same, a little later), ``early``
 (answer before the body is read),
 ``lose`` (run, then reset), ``error`` (run, then answer 500),
-``other`` (expect another identity), ``slow_s``, and ``longer`` (bytes to add to
-answers).
+``other`` (expect another identity), ``slow_s``, ``longer`` (bytes to add to answers),
+and ``endless`` (bytes to send again and again in the head of an answer).
 """
 
 import re
@@ -21,6 +21,7 @@
 __all__ = ["ServedEndpoint", "create_served_endpoint"]
 
 PREFIX = "X-Quetzalwall-"
+BLOCK_BYTES = 64 * 1024
 LATE_S = 0.03  # after which the connection is idle, or used for another request
 HEADER = re.compile(r"^([^:]+):\s*(.*)$")
 
@@ -124,6 +125,8 @@
             return False
         if self.behaviour.get("lose"):
             return False
+        if self.behaviour.get("endless"):
+            _send_endlessly(sock, self.behaviour["endless"])
         text = f"{self.name} {request_id} {len(body)}\n".encode()
         text += b"x" * self.behaviour.get("longer", 0)
         load = f"{self._open},0,{self.slots},100"
@@ -141,6 +144,14 @@
         return True
 
 
+def _send_endlessly(sock, part):
+    """Send a head that does not end, until the connection closes."""
+    sock.sendall(b"HTTP/1.1 200 OK\r\n")
+    while True:
+        sock.sendall(part * (BLOCK_BYTES // len(part)))
+        gevent.sleep(0)
+
+
 def _closed_within(sock, seconds):
     try:
         gevent.socket.wait_read(sock.fileno(), timeout=seconds)
