--- a/soak/checks.py
+++ b/soak/checks.py
@@ -3,13 +3,23 @@
 from collections import Counter
 from typing import NamedTuple
 
-__all__ = ["COLD_PER_S", "DRAIN_S", "Attempt", "Breach", "Calm", "find_breaches"]
+__all__ = [
+    "COLD_PER_S",
+    "DEADLINE_S",
+    "DRAIN_S",
+    "Attempt",
+    "Breach",
+    "Calm",
+    "find_breaches",
+]
 
 NOT_RUN = (408, 421, 429, 503)
 IN_FORCE_S = 2.5  # the operators' bound, while the store answers
 DRAIN_S = 2.5
 STABLE_S = 4.0  # after trouble, until the bounds hold again
 LOSS_SLACK_S = 0.2
+DEADLINE_S = 2.0  # of each request
+LATE_S = 1.5  # beyond it, on a busy machine
 COLD_PER_S = 4.0 * 1.5 + 5.0  # of a cold endpoint, from all instances
 
 
@@ -81,6 +91,7 @@
         *_never_back(attempts),
         *_in_force(attempts, calm),
         *_drained(attempts, left, calm),
+        *_in_time(attempts, calm),
     ]
 
 
@@ -172,6 +183,20 @@
             yield Breach("drain", f"{attempt} at {name}, which left before")
 
 
+def _in_time(attempts, calm):
+    for attempt in attempts:
+        if attempt.ended - attempt.sent <= DEADLINE_S + LATE_S:
+            continue
+        excused = any(
+            begin <= attempt.ended
+            and attempt.sent <= end + STABLE_S
+            and number == attempt.instance
+            for begin, end, number in calm.troubled
+        )
+        if not excused:
+            yield Breach("in time", f"{attempt} was held past its deadline")
+
+
 def _was_troubled(attempt, calm, since=None):
     """Return whether an instance was not in touch when a request was sent.
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -15,7 +15,7 @@
 
 from quetzalwall.connection.single_attempt import SentRequest, create_client
 from quetzalwall.tests.platform_fixtures import HOST
-from soak.checks import COLD_PER_S, Attempt, Breach, Calm, find_breaches
+from soak.checks import COLD_PER_S, DEADLINE_S, Attempt, Breach, Calm, find_breaches
 from soak.fleet import World
 
 __all__ = ["main", "make_schedule", "run_soak"]
@@ -138,7 +138,7 @@
         headers = {
             "Host": HOST,
             "X-Quetzalwall-Request-Id": request_id,
-            "X-Quetzalwall-Deadline-Ms": "2000",
+            "X-Quetzalwall-Deadline-Ms": str(int(DEADLINE_S * 1000)),
             "Cookie": f"X-Quetzalwall-Affinity-Key={rng.randrange(40)}",
         }
         method = "POST" if kind == "book" else "GET"
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -74,6 +74,10 @@
     gone = old.sent - 3.0
     assert _found([_attempt(200)], left_at=gone) == {"drain"}
     assert _found([_attempt(200)], left_at=old.sent - 2.0) == set()
+    held = _attempt(0, "look", sent=old.sent - 4.0, ended=old.sent)
+    assert _found([held]) == {"in time"}
+    assert _found([held], calm=Calm([], [(old.sent - 1.0, old.sent, 0)])) == set()
+    assert _found([held], calm=Calm([], [(old.sent - 1.0, old.sent, 1)])) == {"in time"}
     cut_off = Calm([], [(gone - 5.0, gone - 3.9, 0)])
     assert _found([_attempt(200)], calm=cut_off, left_at=gone) == set()
     assert _found([_attempt(200, instance=1)], calm=cut_off, left_at=gone) == {"drain"}
