--- a/quetzalwall/connection/held_bytes.py
+++ b/quetzalwall/connection/held_bytes.py
@@ -6,9 +6,7 @@
 OWN_MB = 64.0  # the process without any request
 HELD_PART = 0.4  # of the rest; each byte is copied once on its way
 LEAST_BYTES = 16 * MB
-ANSWER_PART = (
-    0.25  # of all that one answer may take, so that one does not starve others
-)
+ANSWER_PART = 0.25  # of all, for one answer, so that it does not starve others
 
 
 class HeldBytes:
