--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -63,7 +63,7 @@
         self.paused = False
         self.stopping = False
         self.starts = 0
-        self.told_to_end = False
+        self.told_to_end = self.killed = False
         self._own_ends = 0
         self.log = tempfile.NamedTemporaryFile(  # noqa: SIM115
             "ab", suffix=f"-front-{number}.log", delete=False
@@ -72,7 +72,7 @@
     def start(self):
         """Start the process."""
         self._own_ends = self.own_ends()
-        self.told_to_end = False
+        self.told_to_end = self.killed = False
         self.starts += 1
         self.paused = self.stopping = False
         self.process = subprocess.Popen(
@@ -110,6 +110,7 @@
             The signal.
         """
         if self.process.poll() is None:
+            self.killed |= number == signal.SIGKILL
             self.told_to_end |= number in (signal.SIGKILL, signal.SIGTERM)
             self.process.send_signal(number)
             self.paused = number == signal.SIGSTOP or (
--- a/soak/run.py
+++ b/soak/run.py
@@ -149,7 +149,8 @@
             raw = bytes(res.read())
             status, echo = res.status_code, res.get("X-Quetzalwall-Request-Id") or ""
             body = raw.decode(errors="replace")
-        planned = instance.stopping and instance.starts == starts
+        same = instance.starts == starts
+        planned = instance.stopping and same and not instance.killed
         ended = time.monotonic()
         return Attempt(
             request_id, kind, index, starts, sent, ended, status, echo, body, planned
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -6,6 +6,7 @@
 
 from nose2.tools import params
 
+from quetzalwall.connection.single_attempt import create_client
 from soak.checks import Attempt, Calm, find_breaches
 from soak.run import Soak, make_schedule, run_soak
 
@@ -83,6 +84,24 @@
     assert _found([_attempt(200, instance=1)], calm=cut_off, left_at=gone) == {"drain"}
 
 
+# Seed 4036: killed 0.2 s after it was told to stop, which no stop as planned survives.
+def test_a_kill_during_a_stop_leaves_no_stop_as_planned():
+    soak = Soak(4036, 1.0, 1)
+    try:
+        soak.world.start()
+        instance = soak.world.instances[0]
+        instance.stopping = True
+        client = create_client(instance.address, soak.world.ports[0], "instance")
+        assert soak._request(soak.rng, client, 0, instance).planned
+        instance.signal(signal.SIGKILL)
+        instance.process.wait()
+        attempt = soak._request(soak.rng, client, 0, instance)
+        assert attempt.status == 0 and not attempt.planned
+        client.close()
+    finally:
+        soak.world.close()
+
+
 def test_a_process_that_ends_by_itself_is_a_breach():
     soak = Soak(1, 1.0, 1)
     try:
