Log what takes memory, and what a build found

A build said nothing of what it found, as whom and with which Python, and ended with a stack where it could not write; the line of memory had no connections and bytes held; the first line of a process named neither its user nor its libraries.

No decision is changed. Tests of the self watch, the build and the front pass.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -7,6 +7,7 @@
 
 import fcntl
 import os
+import platform
 import re
 import shutil
 import subprocess
@@ -50,8 +51,11 @@
     requirements = read_requirements(root)
     wanted = _fingerprint(root, requirements)
     with _only_build(target):
-        if _fits(target / "deps", wanted, requirements):
+        reason = _reason_to_install(target / "deps", wanted, requirements)
+        if reason is None:
+            _say("the installation is complete")
             return
+        _say(f"installing: {reason}")
         _drop_leftovers(target)
         fresh = Path(tempfile.mkdtemp(prefix="deps.new-", dir=target))
         fresh.chmod(0o755)
@@ -96,13 +100,15 @@
         yield
 
 
-def _fits(deps, wanted, requirements):
-    """Return whether an installation is the wanted one and works."""
+def _reason_to_install(deps, wanted, requirements):
+    """Return why an installation is not the wanted one, or None if it works."""
     try:
         installed_for = (deps / STAMP).read_text()
-    except OSError:
-        return False
-    return installed_for == wanted and _import_failure(deps, requirements) is None
+    except OSError as exc:
+        return str(exc)
+    if installed_for != wanted:
+        return "the installation is for another Python or other libraries"
+    return _import_failure(deps, requirements)
 
 
 def _import_failure(deps, requirements):
@@ -128,7 +134,7 @@
     for attempt in range(1, ATTEMPTS + 1):
         if subprocess.run(command, stdin=subprocess.DEVNULL).returncode == 0:
             return
-        print(f"build: installation {attempt} of {ATTEMPTS} failed", file=sys.stderr)
+        _say(f"installation {attempt} of {ATTEMPTS} failed")
         if attempt < ATTEMPTS:
             time.sleep(PAUSE_S)
             _empty(folder)
@@ -156,6 +162,12 @@
             shutil.rmtree(folder, ignore_errors=True)
 
 
+def _say(text):
+    python = platform.python_version()
+    place = f"Python {python} at {sys.executable}, user {os.geteuid()}"
+    print(f"build: {text} ({place})", file=sys.stderr)
+
+
 def main():
     """Build, and return the exit status.
 
@@ -165,8 +177,8 @@
     """
     try:
         build()
-    except BuildError as exc:
-        print(f"build: {exc}", file=sys.stderr)
+    except (BuildError, OSError) as exc:
+        _say(str(exc))
         return 1
     return 0
 
--- a/quetzalwall/process/front.py
+++ b/quetzalwall/process/front.py
@@ -1,6 +1,7 @@
 """The daemon of an instance on the platform: starts and stops all parts in order."""
 
 import os
+import platform
 import random
 
 import gevent
@@ -146,12 +147,11 @@
             self.metrics,
             now,
         )
-        self.self_watch = create_self_watch(
-            settings.memory_mb, lambda: self.in_flight, now
-        )
+        self.self_watch = create_self_watch(settings.memory_mb, self._usage, now)
         self._watches = {
             table: self._create_watch(table) for table in self.knowledge.tables
         }
+        self._servers = {}
         self._tasks = []
 
     def start(self):
@@ -191,6 +191,9 @@
             address=self.settings.address,
             domain=self.settings.domain,
             process=os.getpid(),
+            user=os.geteuid(),
+            python=platform.python_version(),
+            libraries=os.path.dirname(os.path.dirname(gevent.__file__)),
             listening=format_places(listen),
             memory_mb=self.settings.memory_mb,
             connections=self.settings.connections,
@@ -285,6 +288,15 @@
         finally:
             self.in_flight -= 1
 
+    def _usage(self):
+        """Return what takes memory, as fields for the log."""
+        return {
+            "in_flight": self.in_flight,
+            "callers": len(self._servers["callers"].pool),
+            "idle": sum(state.client.idle_count() for state in self.endpoints),
+            "held_bytes": self.held.held,
+        }
+
     def _left_s(self):
         """Return the seconds for which requests may still be taken, if limited."""
         if not self.stopping:
--- a/quetzalwall/process/self_watch.py
+++ b/quetzalwall/process/self_watch.py
@@ -21,8 +21,8 @@
     ----------
     memory_mb : float
         Memory of the machine in MB.
-    in_flight : callable
-        Requests that are under way.
+    usage : callable
+        What takes memory, as a dict of fields for the log.
     monotonic : callable
         Clock in seconds.
 
@@ -34,11 +34,11 @@
         Longest time for which the event loop was held, in seconds.
     """
 
-    def __init__(self, memory_mb, in_flight, monotonic):
+    def __init__(self, memory_mb, usage, monotonic):
         self.resident = 0
         self.held_s = 0.0
         self._memory_mb = memory_mb
-        self._in_flight = in_flight
+        self._usage = usage
         self._monotonic = monotonic
         self._looked = None
         self._step = 0
@@ -56,9 +56,7 @@
         held_s = now - self._looked - PERIOD_S
         self.held_s = max(self.held_s, held_s)
         if held_s > HELD_S:
-            log_event(
-                LOG, "held-up", "warning", held_s=held_s, in_flight=self._in_flight()
-            )
+            log_event(LOG, "held-up", "warning", held_s=held_s, **self._usage())
 
     def _note_memory(self):
         self.resident = resident_bytes()
@@ -70,7 +68,7 @@
                 "warning" if step > MEMORY_STEPS // 2 else "info",
                 resident_mb=self.resident // MB,
                 of_mb=self._memory_mb,
-                in_flight=self._in_flight(),
+                **self._usage(),
             )
         self._step = step
 
@@ -90,15 +88,15 @@
         return 0
 
 
-def create_self_watch(memory_mb, in_flight, monotonic):
+def create_self_watch(memory_mb, usage, monotonic):
     """Return a watch of the own process.
 
     Parameters
     ----------
     memory_mb : float
         Memory of the machine in MB.
-    in_flight : callable
-        Requests that are under way.
+    usage : callable
+        What takes memory, as a dict of fields for the log.
     monotonic : callable
         Clock in seconds.
 
@@ -106,4 +104,4 @@
     -------
     SelfWatch
     """
-    return SelfWatch(memory_mb, in_flight, monotonic)
+    return SelfWatch(memory_mb, usage, monotonic)
