--- a/deploy/tests/test_build.py
+++ b/deploy/tests/test_build.py
@@ -1,3 +1,4 @@
+import ctypes
 import os
 import shutil
 import subprocess
@@ -18,6 +19,25 @@
     "prometheus_client": "0.26.0",
     "xxhash": "4.1.0",
 }
+PR_CAPBSET_DROP = 24  # of prctl(2)
+CAP_DAC_OVERRIDE, CAP_DAC_READ_SEARCH, CAP_FOWNER = 1, 2, 3  # of capabilities(7)
+OTHER_RELEASE = """
+import sys
+sys.version = "3.11.999 (main, Jan  1 2030, 00:00:00) [GCC 99.0.0]"
+"""
+# Writes a file when libraries that were there are gone at the next rename.
+WATCHES_RENAMES = """
+import os, sys
+seen = []
+def note(event, args):
+    if event in ("os.rename", "shutil.rmtree"):
+        there = os.path.exists("target/deps/xxhash/__init__.py")
+        if seen and not there:
+            open("gap", "w").close()
+        if there:
+            seen.append(event)
+sys.addaudithook(note)
+"""
 METADATA = "Metadata-Version: 2.1\nName: {}\nVersion: {}\n"
 WHEEL = "Wheel-Version: 1.0\nRoot-Is-Purelib: true\nTag: py3-none-any\n"
 
@@ -57,18 +77,48 @@
         yield root, registry
 
 
-def start_build(root, registry):
+def start_build(root, registry, program="", drop=None):
+    """Start the build; `program` is run first by each Python that it starts."""
+    hooks = root.parent / "hooks"
+    hooks.mkdir(exist_ok=True)
+    (hooks / "sitecustomize.py").write_text(program)
     command = tomllib.loads((root / "deploy/system.toml").read_text())["build"]
     environ = os.environ | {
         "PATH": f"{Path(sys.executable).parent}:{os.environ['PATH']}",
         "PIP_NO_INDEX": "1",
         "PIP_FIND_LINKS": str(registry),
+        "PYTHONPATH": str(hooks),
     }
     return subprocess.Popen(
-        ["sh", "-c", command], cwd=root, env=environ, stderr=subprocess.PIPE, text=True
+        ["sh", "-c", command],
+        cwd=root,
+        env=environ,
+        stderr=subprocess.PIPE,
+        text=True,
+        preexec_fn=drop,
     )
 
 
+def respect_permissions():
+    """Have the process bound by permission bits, also where root runs the tests."""
+    for capability in (CAP_DAC_OVERRIDE, CAP_DAC_READ_SEARCH, CAP_FOWNER):
+        ctypes.CDLL(None).prctl(PR_CAPBSET_DROP, capability, 0, 0, 0)
+
+
+@contextmanager
+def write_protected(folder):
+    """Take all write permission from a folder and what is in it."""
+    paths = [folder, *folder.rglob("*")]
+    modes = [path.stat().st_mode for path in paths]
+    try:
+        for path in paths:
+            path.chmod(path.stat().st_mode & 0o555)
+        yield
+    finally:
+        for path, mode in zip(paths, modes, strict=True):
+            path.chmod(mode)
+
+
 def finish(process):
     _, said = process.communicate(timeout=120)
     return process.returncode, said
@@ -126,3 +176,52 @@
         assert "could not be installed" in said and "xxhash" in said
         assert not missing(root)
         assert [p.name for p in (root / "target").glob("deps*")] == ["deps"]
+
+
+# "The system did not start from its deploy file", report 2: a complete installation was
+# refused to another user, and where the files can only be read.
+def test_a_complete_installation_is_taken_where_nothing_can_be_written():
+    with checkout() as (root, registry):
+        assert finish(start_build(root, registry))[0] == 0
+        with write_protected(root):
+            status, said = finish(start_build(root, registry, drop=respect_permissions))
+        assert status == 0, said
+
+
+# The same report: a patch release of Python had all libraries installed anew, under
+# running processes.
+def test_another_patch_release_takes_the_same_libraries():
+    with checkout() as (root, registry):
+        assert finish(start_build(root, registry))[0] == 0
+        made = (root / "target/deps/gevent").stat().st_ino
+        status, said = finish(start_build(root, registry, OTHER_RELEASE))
+        assert status == 0, said
+        assert (root / "target/deps/gevent").stat().st_ino == made
+
+
+# The same report: a process that started between two renames found no libraries.
+def test_libraries_are_there_at_every_moment_of_a_replacement():
+    with checkout() as (root, registry):
+        assert finish(start_build(root, registry))[0] == 0
+        with open(root / "constraints.txt", "a") as constraints:
+            constraints.write("# another installation is wanted\n")
+        status, said = finish(start_build(root, registry, WATCHES_RENAMES))
+        assert status == 0, said
+        assert not missing(root)
+        assert not (root / "gap").exists()
+
+
+# The same report: a clean machine has Python without pip.
+def test_the_deploy_file_names_the_packages_that_the_build_needs():
+    deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
+    assert {"python3", "python3-pip"} <= set(deploy.get("packages", ()))
+
+
+def test_a_build_that_can_not_write_says_so_in_one_line():
+    with checkout() as (root, registry):
+        (root / "target").mkdir()
+        with write_protected(root / "target"):
+            status, said = finish(start_build(root, registry, drop=respect_permissions))
+        assert status == 1
+        assert "Permission denied" in said and "target" in said
+        assert "Traceback" not in said
--- /dev/null
+++ b/quetzalwall/process/tests/test_memory.py
@@ -0,0 +1,62 @@
+"""The daemon's memory, by what callers do, on a machine with many descriptors."""
+
+import resource
+
+import gevent.socket
+
+from quetzalwall.tests.daemon_fixture import STARTED_S, daemon
+from quetzalwall.tests.platform_fixtures import HOST, wait_for
+
+MEMORY_MB = 90.0
+DESCRIPTORS = 12_000
+CALLERS = 3000
+ANSWERED_S = 2.0
+MB = 1_000_000
+REQUEST = f"GET /none HTTP/1.1\r\nHost: {HOST}\r\nX-Quetzalwall-Request-Id: a\r\n\r\n"
+
+
+def resident_mb(process):
+    with open(f"/proc/{process.pid}/statm") as stream:
+        return int(stream.read().split()[1]) * resource.getpagesize() / MB
+
+
+def answered(sock):
+    """Return whether a request on a connection is answered."""
+    try:
+        sock.sendall(REQUEST.encode())
+        return bool(sock.recv(4096))
+    except OSError:
+        return False
+
+
+def open_callers(place, count):
+    """Open connections, each with one request, until one is not served."""
+    socks = []
+    for _ in range(count):
+        try:
+            socks.append(gevent.socket.create_connection(place, timeout=ANSWERED_S))
+        except OSError:
+            break
+        if not answered(socks[-1]):
+            break
+    return socks
+
+
+# "Its processes ended by themselves", report 2: connections were bounded by descriptors
+# alone, so that a machine with many of them for its memory was killed.
+def test_connections_that_callers_keep_fit_the_memory_of_the_machine():
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (min(hard, DESCRIPTORS), hard))
+    try:
+        settings = {"memory_mb": MEMORY_MB, "connections": DESCRIPTORS}
+        with daemon(settings) as run:
+            wait_for(run.started, STARTED_S)
+            socks = open_callers(run.callers, CALLERS)
+            try:
+                assert len(socks) > CALLERS / 10
+                assert resident_mb(run.process) < MEMORY_MB
+            finally:
+                for sock in socks:
+                    sock.close()
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
--- /dev/null
+++ b/quetzalwall/tests/daemon_fixture.py
@@ -0,0 +1,55 @@
+"""Fixture of tests that run the daemon as a process of its own."""
+
+import os
+import subprocess
+import sys
+import tempfile
+from contextlib import contextmanager
+
+from quetzalwall.tests.platform_fixtures import (
+    free_ports,
+    own_address,
+    settings_body,
+    write_settings,
+)
+
+STARTED_S = 20.0  # on a busy machine
+
+
+class Daemon:
+    """A running process, and where it listens for callers."""
+
+    def __init__(self, process, output, callers):
+        self.process = process
+        self.callers = callers
+        self._output = output
+
+    def said(self):
+        """Return all that it has written."""
+        self._output.seek(0)
+        return self._output.read()
+
+    def started(self):
+        return "event=started" in self.said()
+
+
+@contextmanager
+def daemon(settings=None, **environ):
+    """Run an instance whose store is down, with further settings and variables."""
+    ports = free_ports(7)
+    body = settings_body(own_address(0), (own_address(0), ports[6]), ports)
+    file = write_settings(body | (settings or {}))
+    with tempfile.NamedTemporaryFile("r") as output:
+        with open(output.name, "w") as stream:
+            process = subprocess.Popen(
+                [sys.executable, "-m", "quetzalwall", "front", "--settings", file],
+                stdout=stream,
+                stderr=stream,
+                env=os.environ | environ,
+            )
+        try:
+            yield Daemon(process, output, (own_address(0), ports[0]))
+        finally:
+            process.kill()
+            process.wait()
+            os.unlink(file)
