Take a complete installation as it is, and replace one in a single step

What callers saw: nothing; the system did not start from its deploy file. Cause: the build opened its lock for writing before it asked whether anything was to be done, so that another user, or a read-only view, got PermissionError and exit 1 on a complete installation. Its stamp held the whole version text of Python, so that two patch releases undid each other's installation under running processes, and between two renames there was none at all. A clean machine was not told that pip is needed. Class: a check that needs more rights, or more sameness, than its subject; a replacement in more than one step. Sought elsewhere: the settings file is read once into memory, and make's virtual environment has its stamp written last. Ruled out: the pinned wheels exist for Python 3.11 to 3.14 on x86_64 and aarch64.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -1,10 +1,13 @@
 """Install the libraries of the instances into ``target/deps``.
 
 The folder is there only as a whole: libraries are installed beside it, imported once
-for a check, and then moved in its place. Builds in one checkout wait for each other.
-Only the standard library is used, and Python 3.11 or later is needed.
+for a check, and then exchanged with it in one step. A complete installation is only
+read, so that it serves any user. Builds that install wait for each other. Only the
+standard library is used, and Python 3.11 or later with pip is needed.
 """
 
+import ctypes
+import errno
 import fcntl
 import os
 import platform
@@ -12,6 +15,7 @@
 import shutil
 import subprocess
 import sys
+import sysconfig
 import tempfile
 import time
 import tomllib
@@ -25,6 +29,10 @@
 STAMP = "installed-for.txt"
 ATTEMPTS = 3  # a registry may fail for a moment
 PAUSE_S = 5.0
+INSTALL_LIMIT_S = 240.0  # of one attempt; the platform ends a build after 15 min
+AT_FDCWD, RENAME_EXCHANGE = -100, 2  # of renameat2(2)
+NO_EXCHANGE = (errno.EINVAL, errno.ENOSYS, errno.EPERM)  # not on this file system
+READABLE, SEARCHABLE = 0o444, 0o555  # by any user, of files and of folders
 NAME = re.compile(r"[A-Za-z0-9_.-]+")
 
 
@@ -45,29 +53,21 @@
     BuildError
         They could not be installed; an earlier installation is left as it was.
     """
-    os.umask(0o022)  # the instances may run as another user
-    target = root / "target"
-    target.mkdir(exist_ok=True)
     requirements = read_requirements(root)
     wanted = _fingerprint(root, requirements)
-    with _only_build(target):
-        reason = _reason_to_install(target / "deps", wanted, requirements)
+    deps = root / "target" / "deps"
+    if _reason_to_install(deps, wanted, requirements) is None:
+        _say("the installation is complete")
+        return
+    os.umask(0o022)  # the instances may run as another user
+    deps.parent.mkdir(exist_ok=True)
+    with _only_build(deps.parent):
+        reason = _reason_to_install(deps, wanted, requirements)
         if reason is None:
-            _say("the installation is complete")
+            _say("another build has made the installation complete")
             return
         _say(f"installing: {reason}")
-        _drop_leftovers(target)
-        fresh = Path(tempfile.mkdtemp(prefix="deps.new-", dir=target))
-        fresh.chmod(0o755)
-        try:
-            _install(root, fresh, requirements)
-            failure = _import_failure(fresh, requirements)
-            if failure is not None:
-                raise BuildError(f"an installed library does not work: {failure}")
-            (fresh / STAMP).write_text(wanted)
-            _put_in_place(fresh, target / "deps")
-        finally:
-            shutil.rmtree(fresh, ignore_errors=True)
+        _replace(root, deps, wanted, requirements)
 
 
 def read_requirements(root):
@@ -87,8 +87,11 @@
 
 
 def _fingerprint(root, requirements):
-    """Return a text that differs whenever the libraries have to be others."""
-    lines = [sys.version, sys.platform, *requirements]
+    """Return a text that differs whenever the libraries have to be others.
+
+    Releases of Python with one binary interface use the same ones.
+    """
+    lines = [sys.implementation.cache_tag, sysconfig.get_platform(), *requirements]
     return "\n".join([*lines, (root / CONSTRAINTS).read_text()])
 
 
@@ -118,7 +121,7 @@
         f"import sys; sys.path.insert(0, sys.argv[1]); import {', '.join(modules)}"
     )
     done = subprocess.run(
-        [sys.executable, "-c", program, str(deps)],
+        [sys.executable, "-B", "-c", program, str(deps)],
         stdin=subprocess.DEVNULL,
         stdout=subprocess.DEVNULL,
         stderr=subprocess.PIPE,
@@ -127,18 +130,47 @@
     return done.stderr.strip() or "failed" if done.returncode else None
 
 
+def _replace(root, deps, wanted, requirements):
+    """Install the libraries and put them in the place of former ones."""
+    _drop_leftovers(deps.parent)
+    fresh = Path(tempfile.mkdtemp(prefix="deps.new-", dir=deps.parent))
+    try:
+        _install(root, fresh, requirements)
+        failure = _import_failure(fresh, requirements)
+        if failure is not None:
+            raise BuildError(f"an installed library does not work: {failure}")
+        (fresh / STAMP).write_text(wanted)
+        _make_readable(fresh)
+        _put_in_place(fresh, deps)
+    finally:
+        shutil.rmtree(fresh, ignore_errors=True)
+
+
 def _install(root, folder, requirements):
     command = [sys.executable, "-m", "pip", "install", "--quiet", "--no-input"]
     command += ["--disable-pip-version-check", "-c", str(root / CONSTRAINTS)]
     command += ["--target", str(folder), *requirements]
     for attempt in range(1, ATTEMPTS + 1):
-        if subprocess.run(command, stdin=subprocess.DEVNULL).returncode == 0:
+        if _succeeds(command):
             return
         _say(f"installation {attempt} of {ATTEMPTS} failed")
         if attempt < ATTEMPTS:
             time.sleep(PAUSE_S)
             _empty(folder)
-    raise BuildError("the libraries could not be installed; is there pip?")
+    message = "the libraries could not be installed"
+    if not _succeeds([sys.executable, "-c", "import pip"]):
+        message += "; this Python has no pip (package python3-pip)"
+    raise BuildError(message)
+
+
+def _succeeds(command):
+    try:
+        done = subprocess.run(
+            command, stdin=subprocess.DEVNULL, timeout=INSTALL_LIMIT_S
+        )
+    except subprocess.TimeoutExpired:
+        return False
+    return done.returncode == 0
 
 
 def _empty(folder):
@@ -146,17 +178,43 @@
     folder.mkdir()
 
 
+def _make_readable(folder):
+    """Let any user read an installation, whatever modes its files came with."""
+    for path in (folder, *folder.rglob("*")):
+        mode = SEARCHABLE if path.is_dir() else READABLE
+        path.chmod(path.stat().st_mode | mode)
+
+
 def _put_in_place(fresh, deps):
-    """Rename a complete installation to its final name."""
-    if deps.exists():
-        # Processes that run from the former one keep the files that they have open.
+    """Give a complete installation its final name, in one step.
+
+    Processes that run from the former one keep the files that they have open, and find
+    what they import later in the new one.
+    """
+    if not deps.exists():
+        fresh.rename(deps)
+    elif not _exchange(fresh, deps):
         deps.rename(deps.with_name(f"deps.old-{os.getpid()}"))
-    fresh.rename(deps)
-    _drop_leftovers(deps.parent)
+        fresh.rename(deps)
+        _drop_leftovers(deps.parent)
+
+
+def _exchange(one, other):
+    """Exchange two names in one step; return whether the system can."""
+    libc = ctypes.CDLL(None, use_errno=True)
+    if not hasattr(libc, "renameat2"):
+        return False
+    paths = [os.fsencode(path) for path in (one, other)]
+    if libc.renameat2(AT_FDCWD, paths[0], AT_FDCWD, paths[1], RENAME_EXCHANGE) == 0:
+        return True
+    code = ctypes.get_errno()
+    if code not in NO_EXCHANGE:
+        raise OSError(code, os.strerror(code), str(other))
+    return False
 
 
 def _drop_leftovers(target):
-    """Remove what builds that were interrupted left, and a replaced installation."""
+    """Remove what builds that were interrupted left, and replaced installations."""
     for pattern in ("deps.new-*", "deps.old-*"):
         for folder in target.glob(pattern):
             shutil.rmtree(folder, ignore_errors=True)
