Bound connections by the machine's memory, and let idle ones make room

What callers saw: their connections ended, as processes of busy deployments were killed for memory; or, where an instance had all connections it may have, nothing for a second. Cause: connections were bounded by descriptors alone and bodies by 0.4 of the memory with a copy of each byte, so that the sum of the limits was over the memory of a machine with many descriptors, and close to it on one of 300 MB and 4,100 (288 MB by the measured 21 to 30 KB a connection). Connections that callers keep without a request held all places. Class: limits that each hold while their sum does not fit. Change: one plan divides memory and descriptors (process/memory_plan.py); while a listener has no room, its oldest idle connections end, by shutting down their reading side, so that a request on its way is still served. The test of callers that wait now has the two before it at work, since idle ones make room; that they do has a test of its own, which could not pass before.

--- a/quetzalwall/connection/held_bytes.py
+++ b/quetzalwall/connection/held_bytes.py
@@ -1,11 +1,7 @@
 """Limit on the bytes of requests and answers that a process holds at one time."""
 
-__all__ = ["Hold", "HeldBytes", "create_held_bytes"]
+__all__ = ["Hold", "HeldBytes"]
 
-MB = 1_000_000
-OWN_MB = 64.0  # the process without any request
-HELD_PART = 0.4  # of the rest; each byte is copied once on its way
-LEAST_BYTES = 16 * MB
 ANSWER_PART = 0.25  # of all, for one answer, so that it does not starve others
 
 
@@ -86,19 +82,3 @@
     def close(self):
         """Count none of the request's bytes any more."""
         self.give_back(self._own)
-
-
-def create_held_bytes(memory_mb):
-    """Return the count of a process that holds nothing yet.
-
-    Parameters
-    ----------
-    memory_mb : float
-        Memory of the machine in MB.
-
-    Returns
-    -------
-    HeldBytes
-    """
-    room = int((memory_mb - OWN_MB) * HELD_PART * MB)
-    return HeldBytes(max(LEAST_BYTES, room))
--- a/quetzalwall/connection/http_server.py
+++ b/quetzalwall/connection/http_server.py
@@ -1,5 +1,6 @@
 """HTTP server of a process: routing by path, limits on input, JSON answers."""
 
+import time
 from typing import NamedTuple
 
 import gevent
@@ -8,6 +9,7 @@
 from gevent.pywsgi import WSGIHandler
 
 from quetzalwall.connection.fair_socket import SHARE_PAUSE_S
+from quetzalwall.connection.idle_connections import IdleConnections
 from quetzalwall.connection.nodelay import NoDelayServer
 
 __all__ = [
@@ -98,13 +100,17 @@
         str
         """
         self._requests += 1
+        idle = self.server.idle
         if self._requests % SHARE_REQUESTS == 0:
             # Requests that are answered here may come without end and without a wait.
             gevent.sleep(SHARE_PAUSE_S)
+        idle.enter(self.socket)
         try:
             return super().read_requestline()
         except TimeoutError:
             return ""
+        finally:
+            idle.leave(self.socket)
 
     def _write_with_headers(self, data):
         # The library sends head and body apart; a small answer goes in one segment.
@@ -145,7 +151,7 @@
         Its ``start`` and ``stop`` methods begin and end service.
     """
     limits = limits or HttpLimits()
-    return NoDelayServer(
+    server = NoDelayServer(
         (address, port),
         application,
         handler_class=handler,
@@ -153,6 +159,8 @@
         log=None,
         error_log=None,
     )
+    server.idle = IdleConnections(time.monotonic)
+    return server
 
 
 def status_line(status):
--- a/quetzalwall/process/front.py
+++ b/quetzalwall/process/front.py
@@ -13,7 +13,6 @@
     create_front_application,
     create_front_server,
 )
-from quetzalwall.connection.held_bytes import create_held_bytes
 from quetzalwall.connection.json_call import create_json_client
 from quetzalwall.connection.product_headers import PRODUCT_DIALECT
 from quetzalwall.exceptions import PeerError, SettingsError
@@ -21,7 +20,7 @@
 from quetzalwall.platform.headers import PLATFORM_DIALECT
 from quetzalwall.platform.settings import FROM_TREE, format_places, read_settings
 from quetzalwall.platform.store import create_store_client
-from quetzalwall.process.front_interfaces import create_interfaces, most_connections
+from quetzalwall.process.front_interfaces import create_interfaces
 from quetzalwall.process.front_metrics import create_front_metrics
 from quetzalwall.process.knowledge.endpoint_table import create_endpoint_table
 from quetzalwall.process.knowledge.fleet import create_fleet
@@ -40,6 +39,7 @@
 from quetzalwall.process.limits.shifting import create_shifts
 from quetzalwall.process.limits.weighted_split import create_weighted_split
 from quetzalwall.process.listeners import open_in_background, open_listener
+from quetzalwall.process.memory_plan import create_held_bytes, most_connections
 from quetzalwall.process.registration import register, unregister
 from quetzalwall.process.self_watch import PERIOD_S, create_self_watch
 from quetzalwall.process.storage.operators import create_operators
@@ -55,6 +55,7 @@
 
 TICK_S = 0.5
 SETTINGS_PERIOD_S = 1.0
+ROOM_PERIOD_S = 0.25  # a caller gives a new connection up after a second
 STORE_TIMEOUT_S = 1.2
 PEER_TIMEOUT_S = 0.8
 ACCEPT_PART = 0.4  # of the grace, in which a stopping instance takes requests
@@ -156,7 +157,7 @@
 
     def start(self):
         """Begin service."""
-        listen = self.settings.listen
+        settings, listen = self.settings, self.settings.listen
         application = create_front_application(
             self._serve, self.server.malformed, lambda: self.stopping, self.held
         )
@@ -164,7 +165,7 @@
             "callers": create_front_server(
                 listen.callers,
                 application,
-                most_connections(self.settings.connections, "callers"),
+                most_connections(settings.memory_mb, settings.connections, "callers"),
             ),
             **create_interfaces(self),
         }
@@ -183,6 +184,7 @@
             repeat(self._tick, TICK_S),
             repeat(self._check_settings, SETTINGS_PERIOD_S),
             repeat(self.self_watch.look, PERIOD_S),
+            repeat(self._make_room, ROOM_PERIOD_S),
         ]
         log_event(
             LOG,
@@ -339,6 +341,11 @@
         self.limits.shifts.step()
         self.limits.cold.forget(lambda name: self.endpoints.get(name) is not None)
 
+    def _make_room(self):
+        for name, server in self._servers.items():
+            if ended := server.idle.make_room(server.pool):
+                log_event(LOG, "made-room", "warning", listener=name, ended=ended)
+
     def _take_configuration(self, cfg):
         self.limits.shifts.configure(cfg.shifts)
         self.limits.split.forget(
--- a/quetzalwall/process/front_interfaces.py
+++ b/quetzalwall/process/front_interfaces.py
@@ -12,37 +12,18 @@
 )
 from quetzalwall.logs import get_logger, log_event
 from quetzalwall.platform.headers import READY_PATH, lookup_body, lookup_place
+from quetzalwall.process.memory_plan import most_connections
 from quetzalwall.process.status import instance_status
 from quetzalwall.request.lookup import draw_by_link, order_instances
 
-__all__ = ["create_interfaces", "most_connections"]
+__all__ = ["create_interfaces"]
 
-FILE_DESCRIPTORS = 200  # for files, and what else is no connection
-# Parts of the other descriptors; what remains is for connections to endpoints.
-PARTS = {"callers": 0.5, "lookup": 0.2, "health": 0.02, "peers": 0.02, "metrics": 0.01}
 METRICS_PATH = "/metrics"
 LOOKUP_TTL_S = 2.0
 LOOKUP_ANSWERS = 3  # instances named; a caller needs another when one fails
 LOG = get_logger("front")
 
 
-def most_connections(descriptors, name):
-    """Return the connections that a listener may have open at once.
-
-    Parameters
-    ----------
-    descriptors : int
-        Descriptors that the process may have open.
-    name : str
-        Name of the listener in the settings.
-
-    Returns
-    -------
-    int
-    """
-    return max(1, int((descriptors - FILE_DESCRIPTORS) * PARTS[name]))
-
-
 def create_interfaces(front):
     """Return the servers of all interfaces but that for callers, not yet started.
 
@@ -65,7 +46,8 @@
     }
     servers = {}
     for name, answer in answers.items():
-        limits = HttpLimits(connections=most_connections(settings.connections, name))
+        connections = most_connections(settings.memory_mb, settings.connections, name)
+        limits = HttpLimits(connections=connections)
         place = getattr(settings.listen, name)
         servers[name] = create_server(*place, partial(answer, front), limits)
     return servers
--- /dev/null
+++ b/quetzalwall/process/memory_plan.py
@@ -0,0 +1,72 @@
+"""How the memory and the descriptors of a machine are divided.
+
+All that callers can make an instance hold comes out of one plan, so that together it
+fits the machine whatever they do.
+"""
+
+from quetzalwall.connection.held_bytes import HeldBytes
+
+__all__ = ["create_held_bytes", "most_connections"]
+
+MB = 1_000_000
+OWN_MB = 56.0  # the process without any caller, its log and what it has learned
+HELD_PART = 0.25  # of the rest, for bodies; each byte is copied once on its way
+LEAST_HELD_BYTES = 4 * MB
+CONNECTION_BYTES = 36_000  # a connection with a request at work, without its body
+# Parts of the rest of the memory for the connections of each listener.
+MEMORY_PARTS = {
+    "callers": 0.35,
+    "lookup": 0.1,
+    "health": 0.01,
+    "peers": 0.01,
+    "metrics": 0.005,
+}
+FILE_DESCRIPTORS = 200  # for files, and what else is no connection
+# Parts of the other descriptors; what remains is for connections to endpoints.
+DESCRIPTOR_PARTS = {
+    "callers": 0.5,
+    "lookup": 0.2,
+    "health": 0.02,
+    "peers": 0.02,
+    "metrics": 0.01,
+}
+
+
+def most_connections(memory_mb, descriptors, name):
+    """Return the connections that a listener may have open at once.
+
+    Parameters
+    ----------
+    memory_mb : float
+        Memory of the machine in MB.
+    descriptors : int
+        Descriptors that the process may have open.
+    name : str
+        Name of the listener in the settings.
+
+    Returns
+    -------
+    int
+    """
+    by_descriptors = (descriptors - FILE_DESCRIPTORS) * DESCRIPTOR_PARTS[name]
+    by_memory = _rest_bytes(memory_mb) * MEMORY_PARTS[name] / CONNECTION_BYTES
+    return max(1, int(min(by_descriptors, by_memory)))
+
+
+def create_held_bytes(memory_mb):
+    """Return the count of a process that holds no bodies yet.
+
+    Parameters
+    ----------
+    memory_mb : float
+        Memory of the machine in MB.
+
+    Returns
+    -------
+    HeldBytes
+    """
+    return HeldBytes(max(LEAST_HELD_BYTES, int(_rest_bytes(memory_mb) * HELD_PART)))
+
+
+def _rest_bytes(memory_mb):
+    return max(0.0, memory_mb - OWN_MB) * MB
--- a/quetzalwall/process/tests/test_listeners.py
+++ b/quetzalwall/process/tests/test_listeners.py
@@ -2,10 +2,18 @@
 from contextlib import ExitStack
 
 import gevent
+from nose2.tools import params
 
 from quetzalwall.exceptions import ListenError
 from quetzalwall.process import listeners
-from quetzalwall.process.front_interfaces import FILE_DESCRIPTORS
+from quetzalwall.process.memory_plan import (
+    CONNECTION_BYTES,
+    FILE_DESCRIPTORS,
+    MEMORY_PARTS,
+    OWN_MB,
+    create_held_bytes,
+    most_connections,
+)
 from quetzalwall.tests.platform_fixtures import (
     call,
     own_address,
@@ -63,14 +71,42 @@
 
 # The descriptors of the settings were checked and not used: any machine took 4,000.
 def test_callers_beyond_the_machines_descriptors_wait_to_be_accepted():
-    with running_site() as site, ExitStack() as stack:
-        front = start_front(stack, site, 1, connections=FILE_DESCRIPTORS + 4)
-        wait_for(front.knowledge.ready)
-        place = (front.settings.address, site.ports[CALLERS])
-        kept = [stack.enter_context(socket.create_connection(place)) for _ in range(2)]
+    with running_site(work_s=1.5) as site, ExitStack() as stack:
+        place = start_crowded(stack, site)
+        at_work = [gevent.spawn(call, *place, f"/look/{n}") for n in range(2)]
         gevent.sleep(0.1)
-        waiting = gevent.spawn(call, *place, "/look/1")
+        waiting = gevent.spawn(call, *place, "/none")
         gevent.sleep(0.5)
         assert not waiting.ready()
-        kept[0].close()
-        assert waiting.get(timeout=5.0)[0] == 200
+        assert [task.get(timeout=5.0)[0] for task in at_work] == [200, 200]
+        assert waiting.get(timeout=5.0)[0] == 404
+
+
+# Idle connections took all that a listener may have: 72,719 others were not accepted.
+def test_the_oldest_idle_connection_makes_room_for_a_new_caller():
+    with running_site() as site, ExitStack() as stack:
+        place = start_crowded(stack, site)
+        kept = [stack.enter_context(socket.create_connection(place)) for _ in range(2)]
+        gevent.sleep(0.1)
+        assert call(*place, "/look/1")[0] == 200
+        kept[0].settimeout(1.0)
+        assert kept[0].recv(100) == b""
+
+
+def start_crowded(stack, site):
+    """Start an instance that may have two callers; return where it listens."""
+    front = start_front(stack, site, 1, connections=FILE_DESCRIPTORS + 4)
+    wait_for(front.knowledge.ready)
+    return front.settings.address, site.ports[CALLERS]
+
+
+# "Its processes ended by themselves", report 2: each limit held, their sum did not fit.
+@params(96.0, 300.0, 560.0, 820.0)
+def test_all_that_callers_may_make_an_instance_hold_fits_the_machine(memory_mb):
+    for descriptors in (700, 4100, 12_300, 100_000):
+        connections = sum(
+            most_connections(memory_mb, descriptors, name) for name in MEMORY_PARTS
+        )
+        bodies = create_held_bytes(memory_mb).capacity
+        taken_mb = (connections * CONNECTION_BYTES + 2 * bodies) / 1_000_000
+        assert OWN_MB + taken_mb <= memory_mb
