Bound what is kept of the objects that callers name

What callers saw: nothing until the instance was killed for memory. Cause: the ranks of all endpoints were kept for each object key that ever came, and a caller names what it likes: 67 MB for 20,000 objects at 160 endpoints (trial). Class: a cache keyed by input, without a bound. Change: only the few endpoints that should hold an object are ranked (the choice counts no others), and the 4,096 objects used last are kept. Evidence: test_objects_that_callers_name_take_bounded_memory failed before and passes; the trial takes 1.6 MB. The load patterns of the choice are unchanged: all pass.

--- a/quetzalwall/process/knowledge/endpoint_table.py
+++ b/quetzalwall/process/knowledge/endpoint_table.py
@@ -1,12 +1,17 @@
 """All endpoints that the registry names, by service."""
 
+from collections import OrderedDict
+from heapq import nsmallest
+
 import xxhash
 
 from quetzalwall.logs import get_logger, log_event
 from quetzalwall.process.knowledge.endpoint_state import create_endpoint_state
 
-__all__ = ["EndpointTable", "create_endpoint_table"]
+__all__ = ["HOLDERS", "EndpointTable", "create_endpoint_table"]
 
+HOLDERS = 3  # endpoints at which an object that none holds should settle
+MOST_ORDERS = 4096  # kept; callers name objects as they like
 RETURN_GRACE_S = 2.0  # lapsed entries are back by then, says the platform
 LOG = get_logger("endpoints")
 
@@ -36,7 +41,7 @@
         self._monotonic = monotonic
         self._states = {}
         self._services = {}
-        self._orders = {}
+        self._orders = OrderedDict()
         self._codes = {}
 
     def __len__(self):
@@ -110,7 +115,7 @@
         )
 
     def order(self, service, object_key):
-        """Return the rank of each endpoint for an object.
+        """Return the ranks of the endpoints that should hold an object.
 
         Parameters
         ----------
@@ -122,15 +127,18 @@
         Returns
         -------
         dict of str to int
-            0 for the endpoint that should hold the object, and so on.
+            0 for the first of `HOLDERS` endpoints, and so on.
         """
         key = (service, object_key)
         ranks = self._orders.get(key)
-        if ranks is None:
-            names = [state.name for state in self.of_service(service)]
-            names.sort(key=lambda name: _weight(object_key, name))
-            ranks = {name: rank for rank, name in enumerate(names)}
-            self._orders[key] = ranks
+        if ranks is not None:
+            self._orders.move_to_end(key)
+            return ranks
+        names = [state.name for state in self.of_service(service)]
+        first = nsmallest(HOLDERS, names, key=lambda name: _weight(object_key, name))
+        ranks = self._orders[key] = {name: rank for rank, name in enumerate(first)}
+        if len(self._orders) > MOST_ORDERS:
+            self._orders.popitem(last=False)
         return ranks
 
     def put(self, entry):
--- a/quetzalwall/request/choose.py
+++ b/quetzalwall/request/choose.py
@@ -8,12 +8,12 @@
 from typing import NamedTuple
 
 from quetzalwall.logs import get_logger, log_event
+from quetzalwall.process.knowledge.endpoint_table import HOLDERS
 from quetzalwall.process.limits.share import whole_share
 from quetzalwall.request.estimate import wait_s
 
 __all__ = ["Chooser", "Choice", "Refusal", "create_chooser"]
 
-HOLDERS = 3  # endpoints at which an object that none holds should settle
 SETTLE_S = 0.06  # by which the first of them seems nearer
 SLOT_PART = 0.7  # of its work, by which a request delays those behind it
 CONNECT_S = 0.015  # by which a new connection makes an endpoint seem farther
