Bound what is remembered of endpoints and routes that are gone

Each endpoint that ever left stayed in every instance's table of removals, and each route that ever had a request among the metrics. Change: 2,000 removals of a table are remembered, and another instance that lacks a forgotten one gets the whole table; figures of routes that a configuration drops go. Evidence: three tests; on the former code the first and the third fail (2,500 removals kept; no way to drop a route).

--- a/quetzalwall/process/front.py
+++ b/quetzalwall/process/front.py
@@ -348,9 +348,9 @@
 
     def _take_configuration(self, cfg):
         self.limits.shifts.configure(cfg.shifts)
-        self.limits.split.forget(
-            {(r.name, r.split) for routes in cfg.hosts.values() for r in routes}
-        )
+        routes = [route for routes in cfg.hosts.values() for route in routes]
+        self.limits.split.forget({(route.name, route.split) for route in routes})
+        self.metrics.keep_routes({route.name for route in routes})
 
     def _check_settings(self):
         if _modified(self._settings_file) != self._settings_seen:
--- a/quetzalwall/process/front_metrics.py
+++ b/quetzalwall/process/front_metrics.py
@@ -67,6 +67,20 @@
         """
         self._child(self._failures, service, kind).inc()
 
+    def keep_routes(self, routes):
+        """Drop the figures of routes that are gone.
+
+        Parameters
+        ----------
+        routes : set of str
+            Names of the routes in force.
+        """
+        for key in list(self._children):
+            metric, labels = key
+            if metric is not self._failures and labels[0] not in {"", *routes}:
+                del self._children[key]
+                metric.remove(*labels)
+
     def looked_up(self):
         """Count a look-up."""
         self._lookups.inc()
--- a/quetzalwall/process/knowledge/knowledge.py
+++ b/quetzalwall/process/knowledge/knowledge.py
@@ -28,6 +28,7 @@
 PLATFORM_TABLES = (OPERATOR_TABLE, ENDPOINTS_TABLE)
 TREE_TABLES = (SETTINGS_TABLE,)
 
+MOST_REMOVED = 2000  # removals remembered of a table, to tell them to others
 LOG = get_logger("config")
 
 
@@ -60,6 +61,7 @@
         self._cfg = None
         self._rows = {table: {} for table in tables}
         self._removed = {table: {} for table in tables}
+        self._forgotten = dict.fromkeys(tables, 0)
         self._versions = {}
 
     def configuration(self):
@@ -137,6 +139,8 @@
         """
         if table not in self._versions:
             return None
+        if after < self._forgotten[table]:
+            after = 0
         rows = {
             key: [base64.b64encode(change.value).decode(), change.version]
             for key, change in self._rows[table].items()
@@ -161,7 +165,11 @@
             removed.pop(change.key, None)
             return
         self._rows[table].pop(change.key, None)
+        removed.pop(change.key, None)
         removed[change.key] = (change.version, lapsed)
+        if len(removed) > MOST_REMOVED:
+            version, _ = removed.pop(next(iter(removed)))
+            self._forgotten[table] = max(self._forgotten[table], version)
 
     def _apply_operator(self, changes):
         for change in changes:
