Send nothing on for a caller that has left

Cause: under load a request waits unread in the socket's buffer, or for a connection to the endpoint. The task that watches the caller gets no turn between the reading of the request and its sending on a kept connection, and requests that are not idempotent had no such task at all. Change: whether the caller is still there is looked at after the request was read, and again after a new connection was awaited. One system call a request.

--- a/quetzalwall/connection/endpoint_client.py
+++ b/quetzalwall/connection/endpoint_client.py
@@ -57,6 +57,8 @@
         Whether no answer is to be expected any more; None to wait in any case.
     hold : Hold or None
         Counts the bytes of the answer; None counts none.
+    check_wanted : callable or None
+        Raises if nobody waits for the answer any more, so that nothing is sent.
     """
 
     method: str
@@ -67,6 +69,7 @@
     idempotent: bool
     hopeless: Callable | None = None
     hold: Hold | None = None
+    check_wanted: Callable | None = None
 
 
 class _Idle(NamedTuple):
@@ -261,6 +264,8 @@
 
     def run(self, raw):
         self._sock, fresh = self._client.take(self._exchange.idempotent)
+        if fresh and self._exchange.check_wanted is not None:
+            self._exchange.check_wanted()
         self.sent = True
         self._send(raw)
         parser = AnswerParser(self._exchange.method)
--- a/quetzalwall/request/request_log.py
+++ b/quetzalwall/request/request_log.py
@@ -3,6 +3,7 @@
 from quetzalwall.logs import get_logger, log_event
 
 __all__ = [
+    "log_abandoned",
     "log_choice",
     "log_failure",
     "log_finish",
@@ -13,6 +14,19 @@
 LOG = get_logger("request")
 
 
+def log_abandoned(req):
+    """Write that a request is not sent, since its caller has left.
+
+    Parameters
+    ----------
+    req : Request
+        The request.
+    """
+    log_event(
+        LOG, "abandoned", "warning", req=req.facts.request_id, route=req.route.name
+    )
+
+
 def log_no_route(facts, host, path, version):
     """Write that no route takes a request.
 
--- a/quetzalwall/request/serve.py
+++ b/quetzalwall/request/serve.py
@@ -23,6 +23,7 @@
 from quetzalwall.request.choose import Refusal
 from quetzalwall.request.estimate import least
 from quetzalwall.request.request_log import (
+    log_abandoned,
     log_choice,
     log_failure,
     log_finish,
@@ -113,6 +114,8 @@
         req = self._read(environ)
         if isinstance(req, Answer):
             return req
+        # It may have given up while its request waited for this process.
+        _check_caller(req)
         if taking_s == 0:
             return self._refuse(
                 req.facts, req.route.name, "admission", "stopping", STOPPING_RETRY_S
@@ -274,8 +277,7 @@
             return False
         if not isinstance(failure, NotRun) and not req.route.idempotent:
             return False
-        if req.sock is not None and is_closed(req.sock):
-            raise CallerLeft
+        _check_caller(req)
         if isinstance(failure, NotConnected):
             return True
         instances = self._knowledge.fleet.size()
@@ -294,6 +296,7 @@
             req.route.idempotent,
             hopeless,
             req.hold,
+            partial(_check_caller, req),
         )
         opened = state.client.opened
         state.own_open += 1
@@ -364,6 +367,13 @@
         log_failure(req, exc, state.name)
 
 
+def _check_caller(req):
+    """Raise if the caller of a request has left."""
+    if req.sock is not None and is_closed(req.sock):
+        log_abandoned(req)
+        raise CallerLeft
+
+
 def create_request_server(
     dialect, knowledge, chooser, durations, limits, claims, metrics, monotonic
 ):
@@ -371,22 +381,8 @@
 
     Parameters
     ----------
-    dialect : Dialect
-        How callers and endpoints speak.
-    knowledge : Knowledge
-        Configuration, endpoints and fleet.
-    chooser : Chooser
-        Chooses endpoints.
-    durations : Durations
-        Learns what work takes.
-    limits : FleetLimits
-        Retry allowance, weighted split and shifts.
-    claims : Claims or None
-        Guard requests that are not idempotent by the key that they carry.
-    metrics : FrontMetrics
-        Counters.
-    monotonic : callable
-        Clock in seconds.
+    dialect, knowledge, chooser, durations, limits, claims, metrics, monotonic
+        As of `RequestServer`.
 
     Returns
     -------
