Lead standard error into the bounded log, and write what waits at the exit

What callers saw: an instance that answered nothing any more, its ports open; with a process that ended, nothing of its last lines in the log. Cause: lines of the log wait in a bounded queue, but what libraries write to standard error (a stack for a head of over 100 lines, for an unforeseen failure) went out directly: 64 KB of it stop the whole process where nobody reads. Lines that waited at the end of a process were dropped, the reason of the end among them. Class: output that can block, or that is lost at the moment it is wanted. Change: standard error of a daemon is a stream of log lines; the queue is written at exit, as far as it can be at once.

--- a/quetzalwall/logs.py
+++ b/quetzalwall/logs.py
@@ -1,5 +1,7 @@
 """Structured logs: one line of key=value pairs for each event."""
 
+import atexit
+import io
 import json
 import os
 import sys
@@ -21,6 +23,7 @@
 
 LOGGED_LINES = 5  # of a stack
 MOST_WAITING_LINES = 5000
+MOST_LINE_CHARACTERS = 500  # of what is not written by the system itself
 WRITE_DELAY_S = 0.05  # lines of one moment are written together
 PLAIN_CHARACTERS = frozenset(
     "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_./:,+#*%"
@@ -98,26 +101,79 @@
 
     def flush(self):
         """Write what waits, as far as it can be written at once."""
-        while self._lines and not self._dropped:
-            self._write_some()
+        data = b""
+        while data or self._lines or self._dropped:
+            data = data or self._next_lines()
+            try:
+                data = data[os.write(self._descriptor, data) :]
+            except OSError:
+                return
 
     def _write(self):
         while self._lines or self._dropped:
-            self._write_some()
+            data = self._next_lines()
+            while data:
+                data = data[gevent.os.nb_write(self._descriptor, data) :]
 
-    def _write_some(self):
+    def _next_lines(self):
         lines = [self._lines.popleft() for _ in range(min(64, len(self._lines)))]
         dropped, self._dropped = self._dropped, 0
         if dropped:
             lines.append(f"level=WARNING part=log event=dropped lines={dropped}")
-        data = "".join(f"{line}\n" for line in lines).encode()
-        while data:
-            data = data[gevent.os.nb_write(self._descriptor, data) :]
+        return "".join(f"{line}\n" for line in lines).encode()
+
+
+class ErrorStream(io.TextIOBase):
+    """Standard error of a daemon: what libraries write there goes into the log.
+
+    A pipe that nobody reads would hold the whole process up once it is full.
+    """
+
+    def __init__(self):
+        self._text = ""
+        self._writing = False
+        self._log = get_logger("stderr")
+
+    def writable(self):
+        """Return True.
+
+        Returns
+        -------
+        bool
+        """
+        return True
+
+    def write(self, text):
+        """Log each whole line.
+
+        Parameters
+        ----------
+        text : str
+            Any part of a line, or several lines.
+
+        Returns
+        -------
+        int
+        """
+        if self._writing:  # the log itself has failed
+            return len(text)
+        *lines, self._text = (self._text + text).split("\n")
+        self._text = self._text[:MOST_LINE_CHARACTERS]
+        self._writing = True
+        try:
+            for line in filter(None, map(str.strip, lines)):
+                line = line[:MOST_LINE_CHARACTERS]
+                log_event(self._log, "written", "error", text=line)
+        finally:
+            self._writing = False
+        return len(text)
 
 
 def setup_bounded_logs(level="INFO", descriptor=1):
     """Install the handler of a daemon: bounded, and never in a request's way.
 
+    Standard error is led into the log as well, and what waits is written at the exit.
+
     Parameters
     ----------
     level : str, default="INFO"
@@ -132,6 +188,8 @@
     os.set_blocking(descriptor, False)
     handler = BoundedHandler(descriptor, level.upper())
     handler.push_application()
+    sys.stderr = ErrorStream()
+    atexit.register(handler.flush)
     return handler
 
 
--- a/quetzalwall/process/tests/test_callers_that_leave.py
+++ b/quetzalwall/process/tests/test_callers_that_leave.py
@@ -20,7 +20,7 @@
         wait_for(lambda: endpoint.cancelled == 1, 0.5)
 
 
-# GONE: requests that had waited for the processor until their callers left were sent on.
+# GONE: requests that had waited unread until their callers left were sent on.
 @params("GET", "POST")
 def test_a_request_whose_caller_left_before_it_was_read_is_not_sent_on(method):
     with running_site(endpoints=1) as site:
--- a/quetzalwall/tests/daemon_fixture.py
+++ b/quetzalwall/tests/daemon_fixture.py
@@ -34,8 +34,11 @@
 
 
 @contextmanager
-def daemon(settings=None, **environ):
-    """Run an instance whose store is down, with further settings and variables."""
+def daemon(settings=None, streams=None, **environ):
+    """Run an instance whose store is down, with further settings and variables.
+
+    `streams` are its standard output and error, if not a file.
+    """
     ports = free_ports(7)
     body = settings_body(own_address(0), (own_address(0), ports[6]), ports)
     file = write_settings(body | (settings or {}))
@@ -43,8 +46,8 @@
         with open(output.name, "w") as stream:
             process = subprocess.Popen(
                 [sys.executable, "-m", "quetzalwall", "front", "--settings", file],
-                stdout=stream,
-                stderr=stream,
+                stdout=streams[0] if streams else stream,
+                stderr=streams[1] if streams else stream,
                 env=os.environ | environ,
             )
         try:
