Ask another instance, then the store, for what one does not tell

Cause, found by reading: an instance that does not follow the store asks the first of those that know more, in a fixed order. If that one has ended, or hangs, it is asked again every 0.1 s or 0.8 s until it counts as silent, which takes up to 2.6 s between regions; the others, which could tell, are not asked. Class: a retry without another choice, and no way out when it does not help. Change: an instance that did not answer is asked after all others; who is behind for 0.8 s without an answer asks the store itself. The questions move to a module of their own. Evidence: two tests; on the former code the store is never asked (fails), and the first can't be run there, as the choice was a fixed one.

--- a/quetzalwall/process/front.py
+++ b/quetzalwall/process/front.py
@@ -13,9 +13,8 @@
     create_front_application,
     create_front_server,
 )
-from quetzalwall.connection.json_call import create_json_client
 from quetzalwall.connection.product_headers import PRODUCT_DIALECT
-from quetzalwall.exceptions import PeerError, SettingsError
+from quetzalwall.exceptions import SettingsError
 from quetzalwall.logs import describe_failure, get_logger, log_event
 from quetzalwall.platform.headers import PLATFORM_DIALECT
 from quetzalwall.platform.settings import FROM_TREE, format_places, read_settings
@@ -28,10 +27,9 @@
     PLATFORM_TABLES,
     TREE_TABLES,
     create_knowledge,
-    read_exported,
 )
 from quetzalwall.process.knowledge.peer_report import PeerCard
-from quetzalwall.process.knowledge.readers import ahead_of
+from quetzalwall.process.knowledge.peer_tables import create_peer_tables
 from quetzalwall.process.knowledge.store_watch import create_table_watch
 from quetzalwall.process.limits.cold_pacing import create_cold_pacing
 from quetzalwall.process.limits.fleet_limits import FleetLimits
@@ -57,7 +55,6 @@
 SETTINGS_PERIOD_S = 1.0
 ROOM_PERIOD_S = 0.25  # a caller gives a new connection up after a second
 STORE_TIMEOUT_S = 1.2
-PEER_TIMEOUT_S = 0.8
 ACCEPT_PART = 0.4  # of the grace, in which a stopping instance takes requests
 LEAVE_PART = 0.7  # of the grace, before which a stopping instance does not end
 END_PART = 0.92  # of the grace, after which it ends whatever is under way
@@ -117,6 +114,9 @@
             self.endpoints, self.fleet, TREE_TABLES if from_tree else PLATFORM_TABLES
         )
         self.knowledge.on_configuration = self._take_configuration
+        self._peer_tables = create_peer_tables(
+            self.fleet, settings.listen.peers[1], lambda: self.settings.seeds, rng, now
+        )
         self.held = create_held_bytes(settings.memory_mb)
         self.metrics = create_front_metrics()
         self.limits = FleetLimits(
@@ -278,7 +278,7 @@
             self._store,
             table,
             on_rows,
-            lambda after: self._ask_peer(table, after),
+            lambda after: self._peer_tables.ask(table, after),
             self.fleet,
             self.clock.monotonic,
         )
@@ -308,32 +308,6 @@
             return 0.0
         return END_PART * self.settings.bounds.grace_s - stopping_s
 
-    def _ask_peer(self, table, after):
-        """Return what another instance knows of a table, or None.
-
-        Before any configuration is known, the seeds are asked as well.
-        """
-        port = self.settings.listen.peers[1]
-        places = [(card.host, port) for card in ahead_of(self.fleet, table)]
-        if not places and not after:
-            own = (self.settings.address, port)
-            places = [place for place in self.settings.seeds if place != own]
-            self.rng.shuffle(places)
-        if not places:
-            return None
-        place = places[0]
-        client = create_json_client(*place, f"instance {place[0]}", PEER_TIMEOUT_S)
-        try:
-            answer = client.call("GET", f"/tables/{table}?after={after}")
-            if answer.status != 200:
-                return None
-            return read_exported(answer.body, place[0])
-        except PeerError as exc:
-            log_event(LOG, "peer-failed", "warning", peer=exc.peer, reason=exc.message)
-            return None
-        finally:
-            client.close()
-
     def _tick(self):
         self.endpoints.drop_lapsed()
         for state in self.endpoints:
--- /dev/null
+++ b/quetzalwall/process/knowledge/peer_tables.py
@@ -0,0 +1,107 @@
+"""Ask other instances for what they know of the store's tables."""
+
+import math
+
+from quetzalwall.connection.json_call import create_json_client
+from quetzalwall.exceptions import PeerError
+from quetzalwall.logs import get_logger, log_event
+from quetzalwall.process.knowledge.knowledge import read_exported
+from quetzalwall.process.knowledge.readers import ahead_of
+
+__all__ = ["PeerTables", "create_peer_tables"]
+
+TIMEOUT_S = 0.8
+FAILED_S = 5.0  # for which an instance that did not answer is asked after all others
+LOG = get_logger("front")
+
+
+class PeerTables:
+    """Asks instances that know more, another one after each failure.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        The other instances, and what they know.
+    port : int
+        Port on which instances ask one another.
+    seeds : callable
+        Returns the instances to ask while none is known, each as (IP number, port).
+    rng : random.Random
+        Spreads the first questions over the seeds.
+    monotonic : callable
+        Clock in seconds.
+    """
+
+    def __init__(self, fleet, port, seeds, rng, monotonic):
+        self._fleet = fleet
+        self._port = port
+        self._seeds = seeds
+        self._rng = rng
+        self._monotonic = monotonic
+        self._failed = {}
+
+    def ask(self, table, after):
+        """Return what another instance knows of a table.
+
+        Before any configuration is known, the seeds are asked as well.
+
+        Parameters
+        ----------
+        table : str
+            Name of the table.
+        after : int
+            Version up to which it is known here; 0 asks for all of it.
+
+        Returns
+        -------
+        (Rows, bool) or None
+            The rows, and whether they are all rows; None if none could tell.
+        """
+        places = [(card.host, self._port) for card in ahead_of(self._fleet, table)]
+        if not places and not after:
+            own = (self._fleet.card.host, self._port)
+            places = [place for place in self._seeds() if place != own]
+            self._rng.shuffle(places)
+        if not places:
+            return None
+        place = min(places, key=self._failed_lately)
+        found = _ask(place, table, after)
+        if found is None:
+            self._failed[place] = self._monotonic()
+        else:
+            self._failed.pop(place, None)
+        return found
+
+    def _failed_lately(self, place):
+        """Return a key that puts the instances that failed last behind all others."""
+        at = self._failed.get(place, -math.inf)
+        return at if self._monotonic() - at < FAILED_S else -math.inf
+
+
+def _ask(place, table, after):
+    client = create_json_client(*place, f"instance {place[0]}", TIMEOUT_S)
+    try:
+        answer = client.call("GET", f"/tables/{table}?after={after}")
+        if answer.status != 200:
+            return None
+        return read_exported(answer.body, place[0])
+    except PeerError as exc:
+        log_event(LOG, "peer-failed", "warning", peer=exc.peer, reason=exc.message)
+        return None
+    finally:
+        client.close()
+
+
+def create_peer_tables(fleet, port, seeds, rng, monotonic):
+    """Return a view of the other instances' tables.
+
+    Parameters
+    ----------
+    fleet, port, seeds, rng, monotonic
+        As of `PeerTables`.
+
+    Returns
+    -------
+    PeerTables
+    """
+    return PeerTables(fleet, port, seeds, rng, monotonic)
--- a/quetzalwall/process/knowledge/store_watch.py
+++ b/quetzalwall/process/knowledge/store_watch.py
@@ -15,6 +15,7 @@
 PAUSE_S = 0.25  # between two calls, so that one call brings several changes
 RETRY_FIRST_S = 0.2
 RETRY_MOST_S = 1.0
+BEHIND_S = 0.8  # after which the store is asked for what no instance has told
 AWAY_AFTER_S = 3.0  # without contact, entries may have lapsed
 LOG = get_logger("store")
 
@@ -61,6 +62,7 @@
         self._monotonic = monotonic
         self._version = None
         self._pause_s = RETRY_FIRST_S
+        self._behind_since = None
         self._task = None
 
     def start(self):
@@ -113,8 +115,17 @@
 
     def _follow_peers(self):
         self.lost = False
-        self.contact = self._monotonic()
-        if ahead_of(self._fleet, self._table):
+        self.contact = now = self._monotonic()
+        if not ahead_of(self._fleet, self._table):
+            self._behind_since = None
+            return
+        if self._behind_since is None:
+            self._behind_since = now
+        if now - self._behind_since > BEHIND_S:
+            self._behind_since = None
+            log_event(LOG, "behind", "warning", table=self._table)
+            self._step()
+        else:
             self._take_from_peer()
 
     def _take_from_peer(self):
@@ -127,6 +138,7 @@
             return
         self._on_rows(rows, whole, False)
         self._version = rows.version
+        self._behind_since = None
         self.loaded = True
         log_event(LOG, "from-peer", table=self._table, version=rows.version)
 
--- /dev/null
+++ b/quetzalwall/process/knowledge/tests/test_behind_others.py
@@ -0,0 +1,87 @@
+"""An instance that does not follow the store, while the others know more."""
+
+from contextlib import ExitStack
+from types import SimpleNamespace
+
+from quetzalwall.clock import system_clock
+from quetzalwall.connection.http_server import create_server, json_answer
+from quetzalwall.platform.store import RowChange, Rows
+from quetzalwall.process.knowledge.fleet import create_fleet
+from quetzalwall.process.knowledge.peer_report import PeerCard, PeerReport
+from quetzalwall.process.knowledge.peer_tables import create_peer_tables
+from quetzalwall.process.knowledge.readers import follows_store
+from quetzalwall.process.knowledge.store_watch import create_table_watch
+from quetzalwall.tests.platform_fixtures import free_ports, own_address, wait_for
+
+TABLE = "servers"
+TOLD = {"version": 7, "whole": False, "rows": {}, "removed": {"ep-1": [7, False]}}
+CHANGES = Rows([RowChange("ep-1", None, 7)], 7)
+
+
+def fleet_of(hosts, version):
+    """Return a fleet in which another instance at each host knows a version."""
+    endpoints = SimpleNamespace(by_code=lambda code: None)
+    card = PeerCard("own", "north", "north-a", own_address(99))
+    monotonic = system_clock().monotonic
+    fleet = create_fleet(card, 1, endpoints, monotonic, 1)
+    for n, host in enumerate(hosts):
+        peer = PeerCard(f"peer-{n}", "north", "north-a", host)
+        tables = {TABLE: version}
+        report = PeerReport(peer, 1, 1, False, True, tables, [], [], [])
+        fleet.receive(report, monotonic())
+    return fleet
+
+
+def serve(stack, host, port):
+    server = create_server(
+        host, port, lambda environ, start: json_answer(start, 200, TOLD)
+    )
+    server.start()
+    stack.callback(server.stop, timeout=0)
+
+
+# DRAIN, known red of report 1: an instance that had ended was asked again and again,
+# until it counted as silent, while others could have told.
+def test_another_instance_is_asked_after_one_that_does_not_answer():
+    port = free_ports(1)[0]
+    hosts = [own_address(n) for n in range(3)]
+    with ExitStack() as stack:
+        serve(stack, hosts[2], port)
+        fleet = fleet_of(hosts, 7)
+        tables = create_peer_tables(fleet, port, list, None, system_clock().monotonic)
+        found = [tables.ask(TABLE, 5) for _ in range(4)]
+    assert found[:2] == [None, None]
+    assert found[2][0].version == found[3][0].version == 7
+
+
+# The same: without an answer of any instance it never asked the store.
+def test_the_store_is_asked_for_what_no_instance_tells():
+    fleet = fleet_of([own_address(n) for n in range(12)], 7)
+    assert not follows_store(fleet)
+    calls, taken = [], []
+
+    def read(table):
+        return Rows([], 5)
+
+    def follow(table, after, wait_s):
+        calls.append(after)
+        return CHANGES
+
+    def take(rows, whole, away):
+        taken.append(rows)
+        fleet.tables[TABLE] = rows.version
+
+    watch = create_table_watch(
+        SimpleNamespace(read=read, follow=follow),
+        TABLE,
+        take,
+        lambda after: None,
+        fleet,
+        system_clock().monotonic,
+    )
+    watch.start()
+    try:
+        wait_for(lambda: CHANGES in taken, 2.5)
+    finally:
+        watch.close()
+    assert calls == [5]
