End a request at work at the end of the grace with an answer of its own

What callers saw: the library's 500, 'Internal Server Error', from an instance that ended at the end of its grace while an endpoint was still at work; the log had no end of it. Change: 504 (may have run) with the reason, and a line event=finished outcome=unknown. The soak: callers that connect and ask nothing (900, more than there is room for), heads of many lines with a standard error that nobody reads, 120 MB of memory an instance, which a process must keep within. Its check of planned stops now counts the instance's own answer in place of the endpoint's as well, and leaves out requests at which an endpoint was at work in the last sixth of the grace, as traced above. The schedule moves to a module of its own.

--- a/quetzalwall/process/self_watch.py
+++ b/quetzalwall/process/self_watch.py
@@ -9,7 +9,7 @@
 PERIOD_S = 0.5  # between two looks
 HELD_S = 0.25  # beyond the period, a look counts as late
 MEMORY_STEPS = 8  # of the machine's memory; each new one that is passed is logged
-STATM = "/proc/self/statm"
+STATM = "/proc/{}/statm"
 MB = 1_000_000
 LOG = get_logger("process")
 
@@ -73,8 +73,13 @@
         self._step = step
 
 
-def resident_bytes():
-    """Return the bytes of memory that this process holds.
+def resident_bytes(process="self"):
+    """Return the bytes of memory that a process holds.
+
+    Parameters
+    ----------
+    process : int or "self"
+        Number of the process.
 
     Returns
     -------
@@ -82,7 +87,7 @@
         0 where the system does not tell.
     """
     try:
-        with open(STATM) as stream:
+        with open(STATM.format(process)) as stream:
             return int(stream.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
     except (OSError, ValueError, IndexError):
         return 0
--- a/quetzalwall/request/serve.py
+++ b/quetzalwall/request/serve.py
@@ -18,6 +18,7 @@
     IncompleteAnswer,
     NotConnected,
     NotRun,
+    OutcomeUnknown,
 )
 from quetzalwall.logs import get_logger, log_event
 from quetzalwall.request.choose import Refusal
@@ -129,6 +130,9 @@
         except CallerLeft:
             self._finish(req, Ended(Answer(0, [], b""), "caller-left"))
             raise
+        except gevent.GreenletExit:
+            stopped = OutcomeUnknown("the instance stopped", "await", "")
+            ended = Ended(self._dialect.fail(504, stopped), "unknown")
         finally:
             if watcher is not None:
                 watcher.kill(block=False)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -138,7 +138,8 @@
         # A request that crosses the close of an idle connection was not read.
         read = runs[attempt.request_id] or attempt.ended - attempt.sent > LOSS_SLACK_S
         # The HTTP server answers 500 for a task that was ended under way.
-        if attempt.planned and read and attempt.status in (0, 500):
+        cut = attempt.status in (0, 500) or "the instance stopped" in attempt.body
+        if attempt.planned and read and cut:
             yield Breach("planned stop", f"{attempt} was cut")
 
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -5,11 +5,13 @@
 import subprocess
 import sys
 import tempfile
+import time
 from contextlib import ExitStack
 
 import gevent
 import msgspec
 
+from quetzalwall.process.self_watch import resident_bytes
 from quetzalwall.tests.platform_fixtures import (
     call,
     config_body,
@@ -24,11 +26,12 @@
 from standins.metadata_store import create_metadata_store
 from standins.served_endpoint import create_served_endpoint
 
-__all__ = ["Instance", "World"]
+__all__ = ["GRACE_S", "MEMORY_MB", "Instance", "World"]
 
 DOMAINS = ("north-a", "north-b", "south-a")
 START_S = 15.0
-GRACE = "3s"
+GRACE_S = 3.0
+MEMORY_MB = 120.0  # few connections beside what a process takes without any
 OLDER_S = 0.6
 
 
@@ -57,14 +60,17 @@
             self.domain,
             seeds,
         )
-        body["bounds"]["grace"] = GRACE
+        body["bounds"]["grace"] = f"{GRACE_S}s"
+        body["memory_mb"] = MEMORY_MB
         self.file = write_settings(body)
         self.process = None
         self.paused = False
         self.stopping = False
         self.starts = 0
+        self.term_at = 0.0
         self.told_to_end = self.killed = False
         self._own_ends = 0
+        self._unread, self._error = os.pipe()  # nobody reads their standard error
         self.log = tempfile.NamedTemporaryFile(  # noqa: SIM115
             "ab", suffix=f"-front-{number}.log", delete=False
         )
@@ -78,7 +84,7 @@
         self.process = subprocess.Popen(
             [sys.executable, "-m", "quetzalwall", "front", "--settings", self.file],
             stdout=self.log,
-            stderr=subprocess.STDOUT,
+            stderr=self._error,
         )
 
     def own_ends(self):
@@ -91,6 +97,16 @@
         ended = self.process is not None and self.process.poll() is not None
         return self._own_ends + (ended and not self.told_to_end)
 
+    def resident_mb(self):
+        """Return the memory that the process takes.
+
+        Returns
+        -------
+        float
+            Megabytes; 0 if it does not run.
+        """
+        return resident_bytes(self.process.pid) / 1e6 if self.running() else 0.0
+
     def running(self):
         """Return whether the process runs and is not paused.
 
@@ -111,6 +127,8 @@
         """
         if self.process.poll() is None:
             self.killed |= number == signal.SIGKILL
+            if number == signal.SIGTERM:
+                self.term_at = time.monotonic()
             self.told_to_end |= number in (signal.SIGKILL, signal.SIGTERM)
             self.process.send_signal(number)
             self.paused = number == signal.SIGSTOP or (
@@ -125,6 +143,8 @@
             gevent.sleep(0.02)
         self.store.close()
         self.log.close()
+        os.close(self._unread)
+        os.close(self._error)
         os.unlink(self.file)
 
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -12,42 +12,20 @@
 from contextlib import suppress
 
 import gevent
+from gevent.socket import create_connection
 
 from quetzalwall.connection.single_attempt import SentRequest, create_client
 from quetzalwall.tests.platform_fixtures import HOST
 from soak.checks import COLD_PER_S, DEADLINE_S, Attempt, Breach, Calm, find_breaches
-from soak.fleet import World
+from soak.fleet import GRACE_S, MEMORY_MB, World
+from soak.schedule import make_schedule
 
-__all__ = ["main", "make_schedule", "run_soak"]
+__all__ = ["main", "run_soak"]
 
-FAULTS = (
-    "kill",
-    "term",
-    "pause",
-    "store down",
-    "store slow",
-    "store loses replies",
-    "store forgets",
-    "store refuses one",
-    "cut from store",
-    "reset store",
-    "endpoint loses answers",
-    "endpoint sheds",
-    "endpoint hangs",
-    "endpoint answers twice",
-    "endpoints answer late",
-    "endpoint cut short",
-    "endpoint without end",
-    "endpoints slow",
-    "configure",
-    "configure",
-    "older configuration",
-    "drain",
-    "drain",
-    "add cold",
-    "hup",
-)
 CALLERS = 20
+HEADS = 80
+HEAD = f"GET /look/x HTTP/1.1\r\nHost: {HOST}\r\n" + "a: b\r\n" * 200 + "\r\n"
+IDLE_CALLERS = 900  # more than an instance has room for
 CONNECT_S = 1.0
 ANSWER_S = 4.0
 STOP_S = 8.0  # well over the grace
@@ -90,16 +68,18 @@
             self.ending = True
             gevent.joinall(callers)
             gevent.joinall(faults)
-            self._note_own_ends()
+            self._note_instances()
         finally:
             self.world.close()
         endpoints = [*self.world.endpoints.values(), *self.world.left.values()]
         return self.breaches + find_breaches(self.attempts, endpoints, self.calm)
 
-    def _note_own_ends(self):
+    def _note_instances(self):
         for number, instance in enumerate(self.world.instances):
             if ends := instance.own_ends():
                 self.breaches.append(Breach("runs on", f"{number} ended {ends} times"))
+            if (resident_mb := instance.resident_mb()) > MEMORY_MB:
+                self.breaches.append(Breach("memory", f"{number}: {resident_mb} MB"))
 
     def _call(self, number):
         rng = random.Random(f"{number} {self.rng.random()}")
@@ -150,12 +130,20 @@
             status, echo = res.status_code, res.get("X-Quetzalwall-Request-Id") or ""
             body = raw.decode(errors="replace")
         same = instance.starts == starts
-        planned = instance.stopping and same and not instance.killed
         ended = time.monotonic()
+        planned = instance.stopping and same and not instance.killed
+        planned &= not self._at_work_to_the_end(instance, request_id, ended)
         return Attempt(
             request_id, kind, index, starts, sent, ended, status, echo, body, planned
         )
 
+    def _at_work_to_the_end(self, instance, request_id, ended):
+        """Return whether no endpoint had answered in the last sixth of the grace."""
+        if ended - instance.term_at < GRACE_S * 5 / 6:
+            return False
+        endpoints = [*self.world.endpoints.values(), *self.world.left.values()]
+        return not any(request_id in endpoint.answered for endpoint in endpoints)
+
     def _fault(self, at, kind, number, span_s):
         instance = self.world.instances[number]
         endpoint = self.rng.choice(list(self.world.endpoints.values()))
@@ -226,6 +214,18 @@
         tasks = [gevent.spawn(self._behave, e, span_s, **behaviour) for e in endpoints]
         gevent.joinall(tasks)
 
+    def _connect(self, instance, span_s, count, raw):
+        """Have callers connect, send bytes and wait; they begin over a second."""
+        place = (instance.address, self.world.ports[0])
+
+        def stay():
+            with suppress(OSError), create_connection(place, CONNECT_S) as sock:
+                sock.sendall(raw)
+                gevent.sleep(span_s)
+
+        callers = [gevent.spawn_later(n / count, stay) for n in range(count)]
+        gevent.joinall(callers)
+
     def _configure(self, *_):
         version = self.world.configure()
         self.calm.versions.append((time.monotonic(), version))
@@ -258,6 +258,8 @@
     "drain",
     "add cold",
     "hup",
+    "heads of many lines",
+    "callers without requests",
     "store loses replies",
     "endpoint loses answers",
     "endpoint sheds",
@@ -292,35 +294,11 @@
     "drain": Soak._drain,
     "add cold": Soak._add_cold,
     "hup": lambda s, i, e, t: i.signal(signal.SIGHUP),
+    "heads of many lines": lambda s, i, e, t: s._connect(i, 0.1, HEADS, HEAD.encode()),
+    "callers without requests": lambda s, i, e, t: s._connect(i, t, IDLE_CALLERS, b""),
 }
 
 
-def make_schedule(seed, seconds, fleet):
-    """Return the faults of a seed.
-
-    Parameters
-    ----------
-    seed : int
-        The seed.
-    seconds : float
-        Length of the traffic.
-    fleet : int
-        Instances.
-
-    Returns
-    -------
-    list of (float, str, int, float)
-        Second, kind, instance, and length in seconds.
-    """
-    rng = random.Random(f"schedule {seed}")
-    count = int(seconds * 0.8)
-    times = sorted(rng.uniform(1.0, max(1.0, seconds - 4.0)) for _ in range(count))
-    return [
-        (at, rng.choice(FAULTS), rng.randrange(fleet), rng.uniform(0.5, 3.0))
-        for at in times
-    ]
-
-
 def run_soak(seed, seconds, fleet=5):
     """Run one seed.
 
--- a/standins/served_endpoint.py
+++ b/standins/served_endpoint.py
@@ -50,6 +50,7 @@
         self.work_s = work_s
         self.behaviour = {}
         self.runs = {}
+        self.answered = set()
         self.arrivals = []
         self.times = []
         self.left_at = None
@@ -127,6 +128,7 @@
             return False
         if self.behaviour.get("endless"):
             _send_endlessly(sock, self.behaviour["endless"])
+        self.answered.add(request_id)
         text = f"{self.name} {request_id} {len(body)}\n".encode()
         text += b"x" * self.behaviour.get("longer", 0)
         load = f"{self._open},0,{self.slots},100"
