Let a listener have a few connections whatever the memory

Found at the reading of the memory plan: below 56 MB, and for the small listeners below 100 MB, it left one connection, so that a machine that used to serve would not any more. Change: 16 at least, within the descriptors.

--- a/quetzalwall/process/memory_plan.py
+++ b/quetzalwall/process/memory_plan.py
@@ -13,6 +13,7 @@
 HELD_PART = 0.25  # of the rest, for bodies; each byte is copied once on its way
 LEAST_HELD_BYTES = 4 * MB
 CONNECTION_BYTES = 36_000  # a connection with a request at work, without its body
+LEAST_CONNECTIONS = 16  # of a listener, on a machine with hardly any memory
 # Parts of the rest of the memory for the connections of each listener.
 MEMORY_PARTS = {
     "callers": 0.35,
@@ -50,7 +51,7 @@
     """
     by_descriptors = (descriptors - FILE_DESCRIPTORS) * DESCRIPTOR_PARTS[name]
     by_memory = _rest_bytes(memory_mb) * MEMORY_PARTS[name] / CONNECTION_BYTES
-    return max(1, int(min(by_descriptors, by_memory)))
+    return max(1, int(min(by_descriptors, max(LEAST_CONNECTIONS, by_memory))))
 
 
 def create_held_bytes(memory_mb):
--- a/quetzalwall/process/tests/test_listeners.py
+++ b/quetzalwall/process/tests/test_listeners.py
@@ -110,3 +110,7 @@
         bodies = create_held_bytes(memory_mb).capacity
         taken_mb = (connections * CONNECTION_BYTES + 2 * bodies) / 1_000_000
         assert OWN_MB + taken_mb <= memory_mb
+
+
+def test_an_instance_on_a_machine_with_hardly_any_memory_takes_some_callers():
+    assert all(most_connections(48.0, 4100, name) >= 16 for name in MEMORY_PARTS)
