Say the parameters of a class once, not again at its factory

Old code: fourteen factories repeated the parameters of their class word for word, 116 lines that had to be kept alike.

--- a/quetzalwall/connection/endpoint_client.py
+++ b/quetzalwall/connection/endpoint_client.py
@@ -366,16 +366,8 @@
 
     Parameters
     ----------
-    name : str
-        Name of the endpoint.
-    host : str
-        IP number.
-    port : int
-        TCP port.
-    read_facts : callable
-        From status and headers of an answer to what they say.
-    monotonic : callable
-        Clock in seconds.
+    name, host, port, read_facts, monotonic
+        As of `EndpointClient`.
 
     Returns
     -------
--- a/quetzalwall/connection/json_call.py
+++ b/quetzalwall/connection/json_call.py
@@ -118,16 +118,8 @@
 
     Parameters
     ----------
-    host : str
-        IP number of the peer.
-    port : int
-        TCP port of the peer.
-    peer : str
-        Name of the peer in errors.
-    timeout_s : float, default=1.0
-        Seconds that a whole call may take.
-    size : int, default=8
-        Connections at most.
+    host, port, peer, timeout_s, size
+        As of `JsonClient`.
 
     Returns
     -------
--- a/quetzalwall/connection/single_attempt.py
+++ b/quetzalwall/connection/single_attempt.py
@@ -350,16 +350,8 @@
 
     Parameters
     ----------
-    host : str
-        IP number of the peer.
-    port : int
-        TCP port of the peer.
-    peer : str
-        Name of the peer in errors.
-    connect_timeout_s : float, default=2.0
-        Seconds to wait for a connection.
-    size : int, default=32
-        Connections at most.
+    host, port, peer, connect_timeout_s, size
+        As of `SingleAttemptClient`.
 
     Returns
     -------
--- a/quetzalwall/platform/store.py
+++ b/quetzalwall/platform/store.py
@@ -309,12 +309,8 @@
 
     Parameters
     ----------
-    host : str
-        IP number of the store.
-    port : int
-        TCP port of the store.
-    timeout_s : float, default=2.0
-        Seconds that a call may take.
+    host, port, timeout_s
+        As of `StoreClient`.
 
     Returns
     -------
--- a/quetzalwall/process/knowledge/endpoint_table.py
+++ b/quetzalwall/process/knowledge/endpoint_table.py
@@ -288,12 +288,8 @@
 
     Parameters
     ----------
-    domains : dict of str to str
-        Region of each failure domain.
-    read_facts : callable
-        From status and headers of an answer to what they say.
-    monotonic : callable
-        Clock in seconds.
+    domains, read_facts, monotonic
+        As of `EndpointTable`.
 
     Returns
     -------
--- a/quetzalwall/process/knowledge/fleet.py
+++ b/quetzalwall/process/knowledge/fleet.py
@@ -363,16 +363,8 @@
 
     Parameters
     ----------
-    card : PeerCard
-        This instance.
-    port : int
-        UDP port, the same on every instance.
-    endpoints : EndpointTable
-        Gets the open requests of the others.
-    monotonic : callable
-        Clock in seconds.
-    process : int
-        Random number of this process; a restarted one has another.
+    card, port, endpoints, monotonic, process
+        As of `Fleet`.
 
     Returns
     -------
--- a/quetzalwall/process/knowledge/knowledge.py
+++ b/quetzalwall/process/knowledge/knowledge.py
@@ -295,12 +295,8 @@
 
     Parameters
     ----------
-    endpoints : EndpointTable
-        The endpoints.
-    fleet : Fleet
-        The other instances.
-    tables : sequence of str
-        Tables of the store that it is made from.
+    endpoints, fleet, tables
+        As of `Knowledge`.
 
     Returns
     -------
--- a/quetzalwall/process/knowledge/store_watch.py
+++ b/quetzalwall/process/knowledge/store_watch.py
@@ -171,20 +171,8 @@
 
     Parameters
     ----------
-    store : StoreClient
-        The store.
-    table : str
-        Name of the table.
-    on_rows : callable
-        Called with `Rows`, whether they are all rows, and whether the store was away
-        before.
-    ask_peer : callable
-        From the version up to which the table is known to the changes that another
-        instance knows, and whether they are all rows; None if it knows no more.
-    fleet : Fleet
-        Tells whether this instance follows the store, and whether others know more.
-    monotonic : callable
-        Clock in seconds.
+    store, table, on_rows, ask_peer, fleet, monotonic
+        As of `TableWatch`.
 
     Returns
     -------
--- a/quetzalwall/process/limits/shifting.py
+++ b/quetzalwall/process/limits/shifting.py
@@ -218,14 +218,8 @@
 
     Parameters
     ----------
-    endpoints : EndpointTable
-        Tells how regions do.
-    fleet : Fleet
-        The instances that share the caps.
-    rng : random.Random
-        Decides which requests are offered to the other region.
-    monotonic : callable
-        Clock in seconds.
+    endpoints, fleet, rng, monotonic
+        As of `Shifts`.
 
     Returns
     -------
--- a/quetzalwall/process/self_watch.py
+++ b/quetzalwall/process/self_watch.py
@@ -98,12 +98,8 @@
 
     Parameters
     ----------
-    memory_mb : float
-        Memory of the machine in MB.
-    usage : callable
-        What takes memory, as a dict of fields for the log.
-    monotonic : callable
-        Clock in seconds.
+    memory_mb, usage, monotonic
+        As of `SelfWatch`.
 
     Returns
     -------
--- a/quetzalwall/process/storage/operators.py
+++ b/quetzalwall/process/storage/operators.py
@@ -156,12 +156,8 @@
 
     Parameters
     ----------
-    knowledge : Knowledge
-        Holds the tree in force.
-    table : StoreTable
-        Rows of the store.
-    clock : Clock
-        Source of time.
+    knowledge, table, clock
+        As of `Operators`.
 
     Returns
     -------
--- a/quetzalwall/process/storage/write_batcher.py
+++ b/quetzalwall/process/storage/write_batcher.py
@@ -201,12 +201,8 @@
 
     Parameters
     ----------
-    table : TableClient
-        The table service.
-    clock : Clock
-        Source of time.
-    rng : random.Random
-        Spreads retries after an outage.
+    table, clock, rng
+        As of `WriteBatcher`.
 
     Returns
     -------
--- a/quetzalwall/request/choose.py
+++ b/quetzalwall/request/choose.py
@@ -351,16 +351,8 @@
 
     Parameters
     ----------
-    endpoints : EndpointTable
-        The endpoints.
-    durations : Durations
-        What work takes.
-    cold_pacing : ColdPacing
-        Which cold endpoints may get a request.
-    fleet : Fleet
-        The other instances.
-    rng : random.Random
-        Breaks ties.
+    endpoints, durations, cold_pacing, fleet, rng
+        As of `Chooser`.
 
     Returns
     -------
--- a/quetzalwall/request/claim.py
+++ b/quetzalwall/request/claim.py
@@ -273,14 +273,8 @@
 
     Parameters
     ----------
-    batcher : WriteBatcher
-        Sends the writes.
-    clock : Clock
-        Source of time.
-    instance : str
-        Name of this instance.
-    spawn : callable
-        Starts a task.
+    batcher, clock, instance, spawn
+        As of `Claims`.
 
     Returns
     -------
