--- a/quetzalwall/connection/idle_connections.py
+++ b/quetzalwall/connection/idle_connections.py
@@ -60,6 +60,8 @@
             Connections that end.
         """
         wanted = max(1, int(pool.size * SPARE_PART)) - pool.free_count()
+        if wanted <= 0:
+            return 0
         ended = 0
         for sock, since in list(self._since.items()):
             if ended >= wanted or self._monotonic() - since < LEAST_IDLE_S:
--- a/quetzalwall/process/knowledge/peer_tables.py
+++ b/quetzalwall/process/knowledge/peer_tables.py
@@ -64,18 +64,19 @@
             self._rng.shuffle(places)
         if not places:
             return None
-        place = min(places, key=self._failed_lately)
+        self._forget_failures()
+        # Those that failed come last, the one that failed last behind all others.
+        place = min(places, key=lambda place: self._failed.get(place, -math.inf))
         found = _ask(place, table, after)
         if found is None:
             self._failed[place] = self._monotonic()
-        else:
-            self._failed.pop(place, None)
         return found
 
-    def _failed_lately(self, place):
-        """Return a key that puts the instances that failed last behind all others."""
-        at = self._failed.get(place, -math.inf)
-        return at if self._monotonic() - at < FAILED_S else -math.inf
+    def _forget_failures(self):
+        now = self._monotonic()
+        self._failed = {
+            place: at for place, at in self._failed.items() if now - at < FAILED_S
+        }
 
 
 def _ask(place, table, after):
