--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -117,6 +117,15 @@
         alive = self.process is not None and self.process.poll() is None
         return alive and not self.paused
 
+    def undisturbed(self):
+        """Return whether the process runs and is not being stopped.
+
+        Returns
+        -------
+        bool
+        """
+        return self.running() and not self.stopping
+
     def signal(self, number):
         """Send a signal if the process runs.
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -15,7 +15,7 @@
 from gevent.socket import create_connection
 
 from quetzalwall.connection.single_attempt import SentRequest, create_client
-from quetzalwall.tests.platform_fixtures import HOST
+from quetzalwall.tests.platform_fixtures import HOST, call
 from soak.checks import COLD_PER_S, DEADLINE_S, Attempt, Breach, Calm, find_breaches
 from soak.fleet import GRACE_S, MEMORY_MB, World
 from soak.schedule import make_schedule
@@ -25,7 +25,9 @@
 CALLERS = 20
 HEADS = 80
 HEAD = f"GET /look/x HTTP/1.1\r\nHost: {HOST}\r\n" + "a: b\r\n" * 200 + "\r\n"
-IDLE_CALLERS = 900  # more than an instance has room for
+IDLE_CALLERS = 1500  # more than an instance has room for, with those not accepted
+TAKEN_S = 2.0  # for a caller that comes then
+ROOM_S = 3.0  # after which some of them have been idle for long enough to end
 CONNECT_S = 1.0
 ANSWER_S = 4.0
 STOP_S = 8.0  # well over the grace
@@ -226,6 +228,21 @@
         callers = [gevent.spawn_later(n / count, stay) for n in range(count)]
         gevent.joinall(callers)
 
+    def _crowd(self, instance, span_s):
+        """Have more callers connect than there is room for, then one with a request."""
+        span_s = max(span_s, ROOM_S + 2 * TAKEN_S)
+        crowd = gevent.spawn(self._connect, instance, span_s, IDLE_CALLERS, b"")
+        gevent.sleep(ROOM_S)
+        starts, before = instance.starts, instance.undisturbed()
+        status = 0
+        with suppress(OSError, gevent.Timeout), gevent.Timeout(TAKEN_S):
+            place = instance.address, self.world.ports[0]
+            status = call(*place, "/look/x")[0]
+        calm = before and instance.undisturbed() and instance.starts == starts
+        if calm and not status:
+            self.breaches.append(Breach("room", f"{instance.address} took no caller"))
+        crowd.join()
+
     def _configure(self, *_):
         version = self.world.configure()
         self.calm.versions.append((time.monotonic(), version))
@@ -295,7 +312,7 @@
     "add cold": Soak._add_cold,
     "hup": lambda s, i, e, t: i.signal(signal.SIGHUP),
     "heads of many lines": lambda s, i, e, t: s._connect(i, 0.1, HEADS, HEAD.encode()),
-    "callers without requests": lambda s, i, e, t: s._connect(i, t, IDLE_CALLERS, b""),
+    "callers without requests": lambda s, i, e, t: s._crowd(i, t),
 }
 
 
