Show that a build by an older Python ends with a bare stack

Seen: the build fails; nothing says which Python is needed. `packages` asks for python3, which need not be 3.11 or later. Cause: tomllib is imported before anything is checked. Evidence: trial, the build by Python 3.10.12: exit 1, "No module named 'tomllib'". Tests only; the mend is to follow.

--- a/deploy/tests/test_other_pythons.py
+++ b/deploy/tests/test_other_pythons.py
@@ -35,6 +35,13 @@
     print("served")
     return 0
 """
+OLD_PYTHON = """
+import collections, sys
+sys.modules["tomllib"] = None
+sys.version_info = collections.namedtuple(
+    "version_info", "major minor micro releaselevel serial"
+)(3, 10, 12, "final", 0)
+"""
 
 
 def pythons():
@@ -92,3 +99,11 @@
         }
         said = {version: process.stderr for version, process in done.items()}
         assert all(process.stdout == "served\n" for process in done.values()), said
+
+
+# The same report: an older Python ended with a stack that did not say what is needed.
+def test_a_build_by_a_python_that_is_too_old_works_or_says_so_in_one_line():
+    with checkout() as (root, registry):
+        status, said = finish(start_build(root, registry, OLD_PYTHON))
+        assert "Traceback" not in said, said
+        assert status == 0 or (said.count("\n") == 1 and "3.11" in said), said
