Show that the build's check sees libraries outside the installation

Seen: the build says yes, processes end with "No module named ...". Cause: the check imports in the environment of the building user, so that its site packages and PYTHONPATH fill what the installation lacks. The processes have neither. Ruled out: a .so that is cut is found by the check (event loop of gevent, exit by SIGBUS). Tests only; the mend is to follow.

--- /dev/null
+++ b/deploy/tests/test_installed_libraries.py
@@ -0,0 +1,23 @@
+import shutil
+
+from deploy.tests.test_build import LIBRARIES, checkout, finish, missing, start_build
+
+
+def write_elsewhere(root):
+    """Put the libraries where only the Python of the build looks for them."""
+    for name in LIBRARIES:
+        library = root.parent / "hooks" / name
+        library.mkdir(parents=True)
+        (library / "__init__.py").write_text("")
+
+
+# "The system did not start from its deploy file", report 3: the check of the build was
+# content with a library of the user who ran it, which the processes don't see.
+def test_libraries_of_the_building_user_do_not_count_as_installed():
+    with checkout() as (root, registry):
+        assert finish(start_build(root, registry))[0] == 0
+        write_elsewhere(root)
+        shutil.rmtree(root / "target/deps/xxhash")
+        status, said = finish(start_build(root, registry))
+        assert status == 0, said
+        assert not missing(root)
