Show that a closed target folder stays closed to other users

Seen: the build says yes; a process of another user finds no libraries. Cause: modes are set from target/deps on; target/ itself keeps that of whoever made it. Evidence: trial with target/ of mode 0700 made before: exit 0, still 0700. Ruled out: a umask of 077 of the build itself: it sets its own before it makes target/. Tests only; the mend is to follow.

--- a/deploy/tests/test_installed_libraries.py
+++ b/deploy/tests/test_installed_libraries.py
@@ -21,3 +21,11 @@
         status, said = finish(start_build(root, registry))
         assert status == 0, said
         assert not missing(root)
+
+
+# The same report: a folder that something else had made for its user alone was kept.
+def test_another_user_can_enter_a_folder_that_was_there_before():
+    with checkout() as (root, registry):
+        (root / "target").mkdir(mode=0o700)
+        assert finish(start_build(root, registry))[0] == 0
+        assert (root / "target").stat().st_mode & 0o005 == 0o005
