Show that one odd optional setting ends each start

Seen: exit 2 at each start, which is a crash loop. Cause: the schema and the bounds know only good and refused; what is optional is refused like what is required. Text for a number, 0, an empty text, an unknown unit, one odd seed. Tests only; the mend is to follow.

--- /dev/null
+++ b/quetzalwall/platform/tests/test_odd_settings.py
@@ -0,0 +1,81 @@
+import os
+import time
+
+from quetzalwall.exceptions import SettingsError
+from quetzalwall.platform.settings import read_settings
+from quetzalwall.tests.daemon_fixture import STARTED_S, daemon
+from quetzalwall.tests.platform_fixtures import settings_body, write_settings
+
+PORTS = [1, 2, 3, 4, 5, 6]
+ODD_FIELDS = {
+    "link_mbps": ("", "many", 0, -1, True, [], float("inf")),
+    "memory_mb": ("", "many", 0, True, {}, float("inf")),
+    "connections": ("", "many", 0, 4100.5, []),
+    "bounds": (False, "a lot", 7, ["a lot"]),
+    "configuration": ("", "git", 7),
+}
+ODD_BOUNDS = {
+    "grace": ("", None, "long", "6min", True, [6], {"s": 6}, "-1s"),
+    "maxShift": ("", None, "15%", [], "nan", "inf", "-1"),
+}
+ODD_SEEDS = ("", None, "a:b:c", "10.0.0.300:1", "10.0.0.1:70000", 7)
+IMPOSSIBLE = (
+    ("address", "10.0.0.300"),
+    ("store", "10.0.0.300:1"),
+    ("store", "10.0.0.1:70000"),
+    ("store", "10.0.0.1:0"),
+)
+
+
+def body():
+    return settings_body("127.0.0.1", ("127.0.0.1", 9), PORTS)
+
+
+def read_with(**fields):
+    """Return the settings with some fields changed, or the text of a refusal."""
+    file = write_settings(body() | fields)
+    try:
+        return read_settings(file)
+    except SettingsError as exc:
+        return exc.message
+    finally:
+        os.unlink(file)
+
+
+# The same report: one optional value that can't be read ended each start for good.
+def test_an_odd_optional_field_leaves_its_default():
+    wrong = []
+    for name, values in ODD_FIELDS.items():
+        default = read_with(**{name: None})
+        read = [(name, value, read_with(**{name: value})) for value in values]
+        wrong += [case for case in read if case[2] != default]
+    assert not wrong, wrong
+
+
+def test_an_odd_bound_leaves_its_default_and_the_other_bounds():
+    wrong = []
+    default = read_with(bounds={"drain": "3s"})
+    for name, values in ODD_BOUNDS.items():
+        for value in values:
+            read = read_with(bounds={"drain": "3s", name: value})
+            wrong += [(name, value, read)] if read != default else []
+    assert not wrong, wrong
+
+
+def test_an_odd_seed_leaves_the_others():
+    default = read_with(seeds=["10.0.0.1:5"])
+    read = {str(seed): read_with(seeds=["10.0.0.1:5", seed]) for seed in ODD_SEEDS}
+    assert all(settings == default for settings in read.values()), read
+
+
+def test_a_running_instance_has_named_each_odd_value_in_a_warning():
+    odd = {"link_mbps": "many", "bounds": {"grace": "long"}}
+    with daemon(odd) as process:
+        end = time.monotonic() + STARTED_S
+        while not process.started() and process.process.poll() is None:
+            assert time.monotonic() < end
+            time.sleep(0.05)
+        said = process.said()
+    assert "event=started" in said, said
+    for text in ("link_mbps", "many", "bounds/grace", "long"):
+        assert text in said, said
