Show that bounds in the form of the pages are refused

Seen: exit 2 at each start: "is not of type 'object'". Cause: only a table is taken; the pages have a list of texts name=value. Evidence: a daemon with the list: exit 2. Tests only; the mend is to follow.

--- a/quetzalwall/platform/tests/test_odd_settings.py
+++ b/quetzalwall/platform/tests/test_odd_settings.py
@@ -42,6 +42,15 @@
         os.unlink(file)
 
 
+# "The system did not start from its deploy file", report 3: the pages have the
+# bounds as a list of texts, or one text; any form but a table was refused.
+def test_bounds_are_read_as_the_pages_write_them():
+    forms = (["grace=7s", "coldSlack=9"], "grace=7s,coldSlack=9")
+    read = [read_with(bounds=form) for form in forms]
+    wanted = read_with(bounds={"grace": "7s", "coldSlack": 9})
+    assert read == [wanted, wanted], read
+
+
 # The same report: one optional value that can't be read ended each start for good.
 def test_an_odd_optional_field_leaves_its_default():
     wrong = []
