Show that addresses that can't exist are accepted

Seen: the instance runs and serves nothing, since it never reaches its store. Cause: a pattern of digits stands for an address; no part of it is compared. Evidence: a daemon with the store at port 99999 runs on. Tests only; the mend is to follow.

--- a/quetzalwall/platform/tests/test_odd_settings.py
+++ b/quetzalwall/platform/tests/test_odd_settings.py
@@ -88,3 +88,13 @@
     assert "event=started" in said, said
     for text in ("link_mbps", "many", "bounds/grace", "long"):
         assert text in said, said
+
+
+# The same report: an address that can't exist was taken, and nothing was served.
+def test_a_required_address_that_can_not_exist_is_refused():
+    wrong = []
+    for name, value in IMPOSSIBLE:
+        read = read_with(**{name: value})
+        refused = isinstance(read, str) and f"/{name}" in read and value in read
+        wrong += [] if refused else [(name, value, read)]
+    assert not wrong, wrong
