Show that a port written as a fraction ends the start with a stack

Seen: exit 1, "'float' object cannot be interpreted as an integer". Cause: the schema takes 7660.0 for an integer, and the value is passed on as it is. Evidence: a daemon with such peer_ports: exit 1. The platform writes whole numbers here. Tests only; the mend is to follow.

--- a/quetzalwall/platform/tests/test_odd_settings.py
+++ b/quetzalwall/platform/tests/test_odd_settings.py
@@ -98,3 +98,8 @@
         refused = isinstance(read, str) and f"/{name}" in read and value in read
         wrong += [] if refused else [(name, value, read)]
     assert not wrong, wrong
+
+
+# The same report: a whole number written as a fraction ended the start with a stack.
+def test_a_port_written_as_a_fraction_is_a_whole_number():
+    assert isinstance(read_with(peer_ports=[7660.0, 7675.0]).peer_port, int)
