Install libraries for each Python, and take those of the Python that runs

"The system did not start from its deploy file": built by one Python and started by another, each process ended with "No module named 'gevent._gevent_c_hub_local'".

Cause: the build installed for the interpreter that ran it and checked with that one; nothing tied the result to the interpreter that runs the instances. A path in which a user can't enter the first folder, or a Python that `packages` brings, makes them differ. Ruled out: patch releases and other users of the same release (they start before and after).

Now a folder for each binary interface is named as Python names its extension modules; the process adds the one of its own interpreter. The build makes its own, which has to succeed, and those of 3.11 to 3.14, found or not, which are reported. A Python older than 3.11 is named in one line by the build and by the process, instead of a stack.

Before: test_each_python_starts_from_one_build fails with 3.12 and 3.13, the two tests of test_other_pythons fail.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -1,11 +1,16 @@
-"""Install the libraries of the instances into ``target/deps``.
-
-The folder is there only as a whole: libraries are installed beside it, imported once
-for a check, and then exchanged with it in one step. A complete installation is only
-read, so that it serves any user. Builds that install wait for each other. Only the
-standard library is used, and Python 3.11 or later with pip is needed.
+"""Install the libraries of the instances into ``target/libraries``.
+
+Each binary interface of Python has a folder of its own there, named as its extension
+modules are, and an instance takes the one of the Python that runs it. The build makes
+that of its own Python, and those of others that are on this machine or supported, since
+another path or user may run another Python. A folder is there only as a whole:
+libraries are installed beside it, imported once for a check, and then exchanged with
+it in one step. A complete folder is only read, so that it serves any user. Builds that
+install wait for each other. Only the standard library is used.
 """
 
+from __future__ import annotations
+
 import ctypes
 import errno
 import fcntl
@@ -15,33 +20,61 @@
 import shutil
 import subprocess
 import sys
-import sysconfig
 import tempfile
 import time
-import tomllib
+from concurrent.futures import ThreadPoolExecutor
 from contextlib import contextmanager
+from importlib.machinery import EXTENSION_SUFFIXES
+from importlib.metadata import distributions
 from pathlib import Path
+from typing import NamedTuple
 
-__all__ = ["BuildError", "build"]
+__all__ = ["OLDEST", "BuildError", "Interface", "build", "find_interfaces"]
 
 ROOT = Path(__file__).resolve().parent.parent
 CONSTRAINTS = "constraints.txt"
 STAMP = "installed-for.txt"
+NOT_SERVED = ".not-served"  # after the tag: a registry has no such libraries
+OLDEST, NEWEST = (3, 11), (3, 14)  # releases of Python for which there are libraries
 ATTEMPTS = 3  # a registry may fail for a moment
 PAUSE_S = 5.0
-INSTALL_LIMIT_S = 240.0  # of one attempt; the platform ends a build after 15 min
+INSTALL_LIMIT_S = 150.0  # of one attempt; the platform ends a build after 15 min
+ASK_LIMIT_S = 10.0
+USUAL_PLACES = ("/usr/local/bin", "/usr/bin")
 AT_FDCWD, RENAME_EXCHANGE = -100, 2  # of renameat2(2)
 NO_EXCHANGE = (errno.EINVAL, errno.ENOSYS, errno.EPERM)  # not on this file system
 READABLE, SEARCHABLE = 0o444, 0o555  # by any user, of files and of folders
 NAME = re.compile(r"[A-Za-z0-9_.-]+")
+ASK = (
+    "import sys; from importlib.machinery import EXTENSION_SUFFIXES as s; "
+    "print(sys.version_info[0], sys.version_info[1], s[0])"
+)
 
 
 class BuildError(Exception):
     """The libraries could not be installed, or do not work."""
 
 
+class Interface(NamedTuple):
+    """A binary interface of Python for which libraries are installed.
+
+    Attributes
+    ----------
+    tag : str
+        Name of its folder.
+    release : tuple of int
+        Major and minor number of Python.
+    python : str or None
+        An interpreter that has it; None if none was found.
+    """
+
+    tag: str
+    release: tuple
+    python: str | None
+
+
 def build(root=ROOT):
-    """Install the libraries unless a complete installation fits.
+    """Install the libraries unless complete installations fit.
 
     Parameters
     ----------
@@ -51,23 +84,18 @@
     Raises
     ------
     BuildError
-        They could not be installed; an earlier installation is left as it was.
+        Those of this Python could not be installed; an earlier installation is left as
+        it was. Those of other ones are reported only.
     """
     requirements = read_requirements(root)
-    wanted = _fingerprint(root, requirements)
-    deps = root / "target" / "deps"
-    if _reason_to_install(deps, wanted, requirements) is None:
-        _say("the installation is complete")
-        return
+    target = root / "target" / "libraries"
+    own, *others = find_interfaces()
     os.umask(0o022)  # the instances may run as another user
-    deps.parent.mkdir(exist_ok=True)
-    with _only_build(deps.parent):
-        reason = _reason_to_install(deps, wanted, requirements)
-        if reason is None:
-            _say("another build has made the installation complete")
-            return
-        _say(f"installing: {reason}")
-        _replace(root, deps, wanted, requirements)
+    _install_lacking(root, target, [own], requirements)
+    try:
+        _install_lacking(root, target, others, requirements, needed=False)
+    except OSError as exc:
+        _say(f"libraries for other releases of Python are left as they are: {exc}")
 
 
 def read_requirements(root):
@@ -82,17 +110,61 @@
     -------
     list of str
     """
+    import tomllib  # not in releases that are told that they are too old
+
     with open(root / "pyproject.toml", "rb") as stream:
         return tomllib.load(stream)["project"]["dependencies"]
 
 
-def _fingerprint(root, requirements):
-    """Return a text that differs whenever the libraries have to be others.
+def find_interfaces(places=None):
+    """Return the binary interfaces that may run an instance, that of this Python first.
+
+    Parameters
+    ----------
+    places : iterable of str, default=None
+        Folders with interpreters; those of the path and the usual ones if None.
 
-    Releases of Python with one binary interface use the same ones.
+    Returns
+    -------
+    list of Interface
     """
-    lines = [sys.implementation.cache_tag, sysconfig.get_platform(), *requirements]
-    return "\n".join([*lines, (root / CONSTRAINTS).read_text()])
+    if places is None:
+        places = [*os.environ.get("PATH", "").split(os.pathsep), *USUAL_PLACES]
+    releases = [(OLDEST[0], minor) for minor in range(OLDEST[1], NEWEST[1] + 1)]
+    names = ["python3", *(f"python{major}.{minor}" for major, minor in releases)]
+    tag = EXTENSION_SUFFIXES[0].split(".")[1]
+    found = {tag: Interface(tag, sys.version_info[:2], sys.executable)}
+    for path in dict.fromkeys(os.path.join(p, n) for p in places for n in names if p):
+        interface = _ask(path) if os.access(path, os.X_OK) else None
+        if interface is not None and interface.release >= OLDEST:
+            found.setdefault(interface.tag, interface)
+    own = "cpython-{}{}-".format(*sys.version_info[:2])
+    for release in releases if tag.startswith(own) else ():
+        other = tag.replace(own, "cpython-{}{}-".format(*release))
+        found.setdefault(other, Interface(other, release, None))
+    return list(found.values())
+
+
+def _ask(path):
+    """Return the interface of an interpreter, or None if it doesn't run."""
+    try:
+        done = subprocess.run(
+            [path, "-c", ASK],
+            stdin=subprocess.DEVNULL,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.DEVNULL,
+            text=True,
+            timeout=ASK_LIMIT_S,
+        )
+        major, minor, suffix = done.stdout.split()
+        return Interface(suffix.split(".")[1], (int(major), int(minor)), path)
+    except (OSError, ValueError, IndexError, subprocess.TimeoutExpired):
+        return None
+
+
+def _fingerprint(root, requirements):
+    """Return a text that differs whenever the libraries have to be others."""
+    return "\n".join([*requirements, (root / CONSTRAINTS).read_text()])
 
 
 @contextmanager
@@ -103,25 +175,69 @@
         yield
 
 
-def _reason_to_install(deps, wanted, requirements):
+def _install_lacking(root, target, interfaces, requirements, needed=True):
+    """Install the libraries of those interfaces that lack them."""
+    wanted = _fingerprint(root, requirements)
+
+    def lacking():
+        pairs = [
+            (interface, _reason_to_install(target, interface, wanted, requirements))
+            for interface in interfaces
+        ]
+        return [(interface, reason) for interface, reason in pairs if reason]
+
+    def install(pair):
+        interface, reason = pair
+        _say(f"installing for {interface.tag}: {reason}")
+        try:
+            attempts = ATTEMPTS if needed else 1
+            _replace(root, target, interface, wanted, requirements, attempts)
+        except (BuildError, OSError) as exc:
+            if needed:
+                raise
+            _say(f"no libraries for {interface.tag}: {exc}")
+            if interface.python is None:
+                (target / f"{interface.tag}{NOT_SERVED}").write_text(wanted)
+
+    if lacking():
+        target.mkdir(parents=True, exist_ok=True)
+        with _only_build(target):
+            if needed:
+                _drop_leftovers(target)
+            # Another build may have installed them meanwhile.
+            with ThreadPoolExecutor(len(interfaces)) as pool:
+                list(pool.map(install, lacking()))
+    elif needed:
+        _say("the installation is complete")
+
+
+def _reason_to_install(target, interface, wanted, requirements):
     """Return why an installation is not the wanted one, or None if it works."""
     try:
-        installed_for = (deps / STAMP).read_text()
+        installed_for = (target / interface.tag / STAMP).read_text()
     except OSError as exc:
+        tried = target / f"{interface.tag}{NOT_SERVED}"
+        if interface.python is None and tried.exists() and tried.read_text() == wanted:
+            return None
         return str(exc)
     if installed_for != wanted:
-        return "the installation is for another Python or other libraries"
-    return _import_failure(deps, requirements)
+        return "the installation is for other libraries"
+    return _import_failure(interface, target / interface.tag, requirements)
 
 
-def _import_failure(deps, requirements):
-    """Return why the libraries can't be imported, or None if they can."""
+def _import_failure(interface, folder, requirements, keep=False):
+    """Return why the libraries can't be imported, or None if they can.
+
+    What is compiled meanwhile may be kept.
+    """
+    if interface.python is None:
+        return None
     modules = [NAME.match(text).group().lower() for text in requirements]
     program = (
         f"import sys; sys.path.insert(0, sys.argv[1]); import {', '.join(modules)}"
     )
     done = subprocess.run(
-        [sys.executable, "-B", "-c", program, str(deps)],
+        [interface.python, *([] if keep else ["-B"]), "-c", program, str(folder)],
         stdin=subprocess.DEVNULL,
         stdout=subprocess.DEVNULL,
         stderr=subprocess.PIPE,
@@ -130,39 +246,64 @@
     return done.stderr.strip() or "failed" if done.returncode else None
 
 
-def _replace(root, deps, wanted, requirements):
+def _replace(root, target, interface, wanted, requirements, attempts):
     """Install the libraries and put them in the place of former ones."""
-    _drop_leftovers(deps.parent)
-    fresh = Path(tempfile.mkdtemp(prefix="deps.new-", dir=deps.parent))
+    fresh = Path(tempfile.mkdtemp(prefix="new-", dir=target))
     try:
-        _install(root, fresh, requirements)
-        failure = _import_failure(fresh, requirements)
+        _install(root, fresh, interface, requirements, attempts)
+        failure = _import_failure(interface, fresh, requirements, keep=True)
         if failure is not None:
             raise BuildError(f"an installed library does not work: {failure}")
         (fresh / STAMP).write_text(wanted)
         _make_readable(fresh)
-        _put_in_place(fresh, deps)
+        _put_in_place(fresh, target / interface.tag)
     finally:
         shutil.rmtree(fresh, ignore_errors=True)
 
 
-def _install(root, folder, requirements):
-    command = [sys.executable, "-m", "pip", "install", "--quiet", "--no-input"]
-    command += ["--disable-pip-version-check", "-c", str(root / CONSTRAINTS)]
-    command += ["--target", str(folder), *requirements]
-    for attempt in range(1, ATTEMPTS + 1):
+def _install(root, folder, interface, requirements, attempts):
+    command = _pip_command(folder, interface, requirements)
+    command += ["-c", str(root / CONSTRAINTS)]
+    for attempt in range(1, attempts + 1):
         if _succeeds(command):
             return
-        _say(f"installation {attempt} of {ATTEMPTS} failed")
-        if attempt < ATTEMPTS:
+        _say(f"installation {attempt} of {attempts} failed for {interface.tag}")
+        if attempt < attempts:
             time.sleep(PAUSE_S)
-            _empty(folder)
+            shutil.rmtree(folder)
+            folder.mkdir()
     message = "the libraries could not be installed"
     if not _succeeds([sys.executable, "-c", "import pip"]):
         message += "; this Python has no pip (package python3-pip)"
     raise BuildError(message)
 
 
+def _pip_command(folder, interface, requirements):
+    command = [sys.executable, "-m", "pip", "install", "--quiet", "--no-input"]
+    command += ["--disable-pip-version-check", "--root-user-action=ignore"]
+    command += ["--target", str(folder)]
+    if interface.python != sys.executable:
+        # Conditions on the release are judged by the Python that runs pip.
+        requirements = [*requirements, *_conditional(folder.parent)]
+        command += ["--python-version", "{}.{}".format(*interface.release)]
+        command += ["--only-binary", ":all:", "--no-compile"]
+    return [*command, *requirements]
+
+
+def _conditional(target):
+    """Return what installed libraries need with some releases of Python only."""
+    own = target / EXTENSION_SUFFIXES[0].split(".")[1]
+    texts = [text for d in distributions(path=[str(own)]) for text in d.requires or ()]
+    conditions = [text.partition(";") for text in texts]
+    return sorted(
+        {
+            name.strip()
+            for name, _, condition in conditions
+            if "python_version" in condition and "extra" not in condition
+        }
+    )
+
+
 def _succeeds(command):
     try:
         done = subprocess.run(
@@ -173,11 +314,6 @@
     return done.returncode == 0
 
 
-def _empty(folder):
-    shutil.rmtree(folder)
-    folder.mkdir()
-
-
 def _make_readable(folder):
     """Let any user read an installation, whatever modes its files came with."""
     for path in (folder, *folder.rglob("*")):
@@ -185,18 +321,19 @@
         path.chmod(path.stat().st_mode | mode)
 
 
-def _put_in_place(fresh, deps):
+def _put_in_place(fresh, final):
     """Give a complete installation its final name, in one step.
 
     Processes that run from the former one keep the files that they have open, and find
     what they import later in the new one.
     """
-    if not deps.exists():
-        fresh.rename(deps)
-    elif not _exchange(fresh, deps):
-        deps.rename(deps.with_name(f"deps.old-{os.getpid()}"))
-        fresh.rename(deps)
-        _drop_leftovers(deps.parent)
+    if not final.exists():
+        fresh.rename(final)
+    elif not _exchange(fresh, final):
+        former = final.with_name(f"old-{os.getpid()}-{final.name}")
+        final.rename(former)
+        fresh.rename(final)
+        shutil.rmtree(former, ignore_errors=True)
 
 
 def _exchange(one, other):
@@ -215,7 +352,7 @@
 
 def _drop_leftovers(target):
     """Remove what builds that were interrupted left, and replaced installations."""
-    for pattern in ("deps.new-*", "deps.old-*"):
+    for pattern in ("new-*", "old-*"):
         for folder in target.glob(pattern):
             shutil.rmtree(folder, ignore_errors=True)
 
@@ -233,6 +370,9 @@
     -------
     int
     """
+    if sys.version_info < OLDEST:
+        _say("Python {}.{} or later is needed".format(*OLDEST))
+        return 1
     try:
         build()
     except (BuildError, OSError) as exc:
