Show that a large registry holds the event loop (red)

Cause: each endpoint that is put into the table is compared with all others and has the whole index made anew, so that one reading costs the square of its length, and all of its rows are taken over without a pause. Restarts and removals do the same.

Ruled out: memory.

Nothing is mended yet.

--- /dev/null
+++ b/quetzalwall/process/knowledge/tests/test_large_registry.py
@@ -0,0 +1,68 @@
+"""Endpoints by the thousand: one reading of the registry brings them all at once."""
+
+import gevent
+import msgspec
+
+from quetzalwall.platform.headers import answer_facts
+from quetzalwall.platform.store import RowChange, Rows
+from quetzalwall.process.knowledge.endpoint_table import create_endpoint_table
+from quetzalwall.process.knowledge.fleet import create_fleet
+from quetzalwall.process.knowledge.knowledge import create_knowledge
+from quetzalwall.process.knowledge.peer_report import PeerCard
+from quetzalwall.process.self_watch import HELD_S
+from quetzalwall.tests.platform_fixtures import (
+    DOMAINS,
+    Beat,
+    ManualClock,
+    entry_body,
+)
+
+LARGE = 3000  # about 600 instances of a site with 5 endpoints an instance
+CARD = PeerCard("one", "north", "north-a", "127.0.0.1")
+
+
+def create():
+    clock = ManualClock()
+    endpoints = create_endpoint_table(DOMAINS, answer_facts, clock.monotonic)
+    fleet = create_fleet(CARD, 1, endpoints, clock.monotonic, 7)
+    return create_knowledge(endpoints, fleet)
+
+
+def rows_of(count, version, born):
+    bodies = {
+        f"ep-{n}": msgspec.json.encode(entry_body((f"10.0.0.{n % 250}", n), born=born))
+        for n in range(1, count + 1)
+    }
+    return Rows([RowChange(k, v, version) for k, v in bodies.items()], version)
+
+
+def removals(count, version):
+    return Rows([RowChange(f"ep-{n}", None, version) for n in range(1, count)], version)
+
+
+def held_s(knowledge, rows, whole):
+    """Return how long the event loop is held by rows that are taken over."""
+    beat = Beat()
+    knowledge.apply("servers", rows, whole, False)
+    gevent.sleep(0.05)
+    return beat.stop()[0]
+
+
+# "Its processes do not hand back the processor", report 3, at scale: each endpoint that
+# came was compared with all others and had the whole index made anew.
+def test_a_large_registry_does_not_hold_the_event_loop():
+    assert held_s(create(), rows_of(LARGE, 1, 1), True) < HELD_S
+
+
+# The same when a release starts all endpoints anew.
+def test_endpoints_that_all_start_anew_do_not_hold_the_event_loop():
+    knowledge = create()
+    knowledge.apply("servers", rows_of(LARGE, 1, 1), True, False)
+    assert held_s(knowledge, rows_of(LARGE, 2, 2), False) < HELD_S
+
+
+# The same when all are taken out of the registry.
+def test_endpoints_that_all_leave_do_not_hold_the_event_loop():
+    knowledge = create()
+    knowledge.apply("servers", rows_of(LARGE, 1, 1), True, False)
+    assert held_s(knowledge, removals(LARGE, 2), False) < HELD_S
