Look no name up and start no thread in a running instance

"The system did not start": a listener accepted nothing until the name service had told the name of its own address, five listeners one after the other; where no native thread can be started, the first look-up of the store's address ended the process.

Cause: the server library asks for the host name of each listener to fill in SERVER_NAME, which nothing here reads; the client library resolves the address of each connection, an IP number as well, in native threads. Both know the answer already: all addresses of a daemon are IP numbers, from the settings, the store's rows (checked as IPv4) and the datagrams. Now the server's class gives its own address and the pool hands the place to connect() as it is. Ruled out: the metrics library and the log, which start no thread.

--- a/quetzalwall/connection/nodelay.py
+++ b/quetzalwall/connection/nodelay.py
@@ -46,6 +46,11 @@
 class NoDelayServer(WSGIServer):
     """WSGI server whose accepted sockets are fair and have TCP_NODELAY set."""
 
+    def update_environ(self):
+        """Name the server by its IP number; the library asks for the host's name."""
+        self.environ.setdefault("SERVER_NAME", str(self.address[0]))
+        super().update_environ()
+
     def do_read(self):
         """Accept a connection.
 
--- a/quetzalwall/connection/single_attempt.py
+++ b/quetzalwall/connection/single_attempt.py
@@ -8,6 +8,7 @@
 
 from typing import NamedTuple
 
+import gevent.socket
 from geventhttpclient.client import HTTPClient
 from geventhttpclient.connectionpool import ConnectionPool
 from geventhttpclient.response import (
@@ -68,6 +69,12 @@
         """
         set_nodelay(sock)
 
+    def _resolve(self):
+        # The library looks each address up in a native thread, IP numbers as well.
+        place = self._connection_host, self._connection_port
+        kind = gevent.socket.AF_INET, gevent.socket.SOCK_STREAM
+        return [(*kind, gevent.socket.IPPROTO_TCP, "", place)]
+
     def _create_tcp_socket(self, family, socktype, protocol):
         return FairSocket(family, socktype, protocol)
 
