Start with closed standard streams, and let no socket take their places

"The system did not start from its deploy file": a process whose standard output is closed ended at its start, exit 1; with both streams closed without a word.

Cause: the log sets the descriptor not to block, which fails where it is not open. Where it went on, the next socket would have got the number of a stream, and lines of the log been sent to a caller. Each closed stream is now opened onto /dev/null before any library is loaded. Found beside it: a line that could not be written ended its task with a stack, which is a line that can not be written: 59 stacks in 3 s after one line, without end. Such lines are now counted as dropped.

--- a/quetzalwall/__main__.py
+++ b/quetzalwall/__main__.py
@@ -5,12 +5,15 @@
 import signal
 import sys
 
+from quetzalwall.streams import open_standard_streams
+
 DAEMON = "front"
 LIBRARY_MISSING = 1  # exit status
 OLDEST = (3, 11)
 
 
 def _run():
+    open_standard_streams()
     if sys.argv[1:2] == [DAEMON]:
         # Would end the process until its handler is there, which takes a while.
         signal.signal(signal.SIGHUP, signal.SIG_IGN)
--- a/quetzalwall/logs.py
+++ b/quetzalwall/logs.py
@@ -12,6 +12,8 @@
 import gevent.os
 import logbook
 
+from quetzalwall.streams import open_standard_streams
+
 __all__ = [
     "describe_failure",
     "format_fields",
@@ -112,8 +114,13 @@
     def _write(self):
         while self._lines or self._dropped:
             data = self._next_lines()
-            while data:
-                data = data[gevent.os.nb_write(self._descriptor, data) :]
+            try:
+                while data:
+                    data = data[gevent.os.nb_write(self._descriptor, data) :]
+            except OSError:
+                # Nobody reads any more; a stack would be the next line to fail.
+                self._dropped += data.count(b"\n")
+                return
 
     def _next_lines(self):
         lines = [self._lines.popleft() for _ in range(min(64, len(self._lines)))]
@@ -185,6 +192,7 @@
     -------
     BoundedHandler
     """
+    open_standard_streams()
     os.set_blocking(descriptor, False)
     handler = BoundedHandler(descriptor, level.upper())
     handler.push_application()
