Let no value that an instance can do without end its start

"The system did not start from its deploy file": where the platform lacked a value, or gave one in a form that was not known, each start ended with exit status 2, so that the whole fleet was in a crash loop.

Cause: the template listed single fields, so that a missing one left invalid JSON, and all that could not be read was refused like what is needed.

The template now hands on all fields, whatever they are; they are translated in one place. Optional values that can't be read are named in a line of the log, and defaults hold, or the former values in a running instance; `--check` still refuses them. What is needed (names, addresses, listeners, store) and `configuration` are refused as before.

--- a/deploy/tests/test_start.py
+++ b/deploy/tests/test_start.py
@@ -184,3 +184,30 @@
         assert answers(health, process, output)
         process.terminate()
         assert process.wait(STARTED_S) == 0
+
+
+# The same failure where the platform has no value for what an instance can do without.
+def test_an_instance_starts_without_what_it_can_do_without():
+    def change(fields):
+        for name in ("zones", "seeds", "limits", "bounds", "role"):
+            del fields[name]
+
+    root = built_checkout()
+    with instance(root, interpreters()[0], change=change) as (process, health, output):
+        assert answers(health, process, output)
+
+
+# The same failure where a value has a form that is not known.
+def test_an_instance_starts_with_values_that_it_can_not_read():
+    def change(fields):
+        fields["bounds"] = ["grace=6s", "coldSlack=much", "drain"]
+        fields["limits"] = {"memoryMb": "plenty", "maxFds": 0, "linkMbps": None}
+        fields["seeds"] = ["front-north-a-2"]
+
+    root = built_checkout()
+    with instance(root, interpreters()[0], change=change) as (process, health, output):
+        assert answers(health, process, output)
+        output.seek(0)
+        said = output.read().decode()
+    for path in ("/bounds/coldSlack", "/memory_mb", "/connections", "/seeds/0"):
+        assert f"path={path}" in said, said
--- a/quetzalwall/cli/front_command.py
+++ b/quetzalwall/cli/front_command.py
@@ -6,7 +6,11 @@
 from quetzalwall.cli.client import WRONG_INPUT
 from quetzalwall.exceptions import SettingsError
 from quetzalwall.logs import setup_bounded_logs
-from quetzalwall.platform.settings import read_settings, settings_path
+from quetzalwall.platform.settings import (
+    log_ignored,
+    read_settings,
+    settings_path,
+)
 from quetzalwall.process.front import run_front
 
 __all__ = ["add_parser"]
@@ -46,13 +50,19 @@
     if not args.settings:
         print("quetzalwall: no settings file is named", file=sys.stderr)
         return WRONG_INPUT
+    ignored = []
     try:
-        settings = read_settings(args.settings)
+        settings = read_settings(args.settings, ignored)
     except SettingsError as exc:
         print(exc.message, file=sys.stderr)
         return WRONG_INPUT
     if args.check:
+        for fault in ignored:
+            print(fault, file=sys.stderr)
+        if ignored:
+            return WRONG_INPUT
         print(f"{args.settings}: ok")
         return 0
     setup_bounded_logs()
+    log_ignored(ignored)
     return run_front(settings, args.settings)
--- a/quetzalwall/platform/settings.py
+++ b/quetzalwall/platform/settings.py
@@ -1,16 +1,19 @@
 """Settings of an instance that runs on the platform.
 
 The platform fills in ``deploy/settings.json.template`` and puts the result where an
-environment variable says. The names in it are the project's own, but for those of the
-bounds, which the platform passes as a table.
+environment variable says. It holds all fields that the platform has, which are
+translated here; a file of one's own holds the project's names, but for the bounds.
 """
 
+import math
 import os
 from typing import NamedTuple
 
 import jsonschema
 
 from quetzalwall.exceptions import SettingsError
+from quetzalwall.logs import get_logger, log_event
+from quetzalwall.platform.fields import read_bound_table, settings_from_fields
 from quetzalwall.platform.rows import RowError, parse_duration_s
 from quetzalwall.version.check import Fault, load_json
 
@@ -20,6 +23,7 @@
     "InstanceSettings",
     "Listen",
     "format_places",
+    "log_ignored",
     "parse_place",
     "read_settings",
     "settings_path",
@@ -28,6 +32,7 @@
 PATH_VARIABLE = "QUETZALWALL_NODE_FILE"
 PLACE = {"type": "string", "pattern": r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$"}
 NAME = {"type": "string", "minLength": 1}
+AMOUNT = {"type": "number", "exclusiveMinimum": 0, "maximum": 1e9}
 FROM_OPERATORS, FROM_TREE = "operators", "tree"  # where the configuration comes from
 DEFAULT_LINK_MBPS = 1000.0
 DEFAULT_MEMORY_MB = 300.0
@@ -57,12 +62,15 @@
         "seeds": {"type": "array", "items": PLACE},
         "store": PLACE,
         "configuration": {"enum": [FROM_OPERATORS, FROM_TREE]},
-        "link_mbps": {"type": "number", "exclusiveMinimum": 0},
-        "memory_mb": {"type": "number", "exclusiveMinimum": 0},
+        "link_mbps": AMOUNT,
+        "memory_mb": AMOUNT,
         "connections": {"type": "integer", "minimum": 1},
         "bounds": {"type": "object"},
     },
 }
+# What an instance can do without, by a default.
+OPTIONAL = frozenset(("seeds", "link_mbps", "memory_mb", "connections", "bounds"))
+DEFAULT_METRICS_PORT = 9464
 # The platform's name of a bound, to the field of `Bounds`.
 SECONDS = {
     "stable": "stable_s",
@@ -82,6 +90,10 @@
 }
 
 
+LOG = get_logger("settings")
+VALIDATOR = jsonschema.Draft202012Validator(SCHEMA)
+
+
 class Bounds(NamedTuple):
     """Bounds that the operators have set, in seconds and fractions.
 
@@ -191,13 +203,17 @@
     return (os.environ if environ is None else environ).get(PATH_VARIABLE)
 
 
-def read_settings(file):
+def read_settings(file, ignored=None, former=None):
     """Return the checked settings of a file.
 
     Parameters
     ----------
     file : str
         Path of the file.
+    ignored : list of Fault, default=None
+        Gets the values that can't be read and that an instance can do without.
+    former : InstanceSettings, default=None
+        Settings whose values hold instead of those; defaults if None.
 
     Returns
     -------
@@ -206,19 +222,16 @@
     Raises
     ------
     SettingsError
-        Names every fault, each with file, path and value.
+        Names every fault of what is needed, each with file, path and value.
     """
+    ignored = [] if ignored is None else ignored
     body = _given(load_json(file))
-    validator = jsonschema.Draft202012Validator(SCHEMA)
-    faults = [_fault(file, error) for error in validator.iter_errors(body)]
-    bounds = {}
-    if not faults:
-        for name, value in body.get("bounds", {}).items():
-            fault = _read_bound(file, name, value, bounds)
-            faults += [fault] if fault else []
+    if isinstance(body, dict):
+        _drop_faulty(file, body, ignored)
+    faults = [_fault(file, error) for error in VALIDATOR.iter_errors(body)]
     if faults:
         raise SettingsError("\n".join(str(fault) for fault in faults), faults)
-    return InstanceSettings(
+    settings = InstanceSettings(
         instance=body["instance"],
         address=body["address"],
         region=body["region"],
@@ -227,24 +240,66 @@
         listen=Listen(
             **{name: parse_place(body["listen"][name]) for name in LISTENERS}
         ),
-        peer_port=body["peer_ports"][0],
+        peer_port=int(body["peer_ports"][0]),
         seeds=[parse_place(text) for text in body.get("seeds", ())],
         store=parse_place(body["store"]),
         link_mbps=float(body.get("link_mbps", DEFAULT_LINK_MBPS)),
         memory_mb=float(body.get("memory_mb", DEFAULT_MEMORY_MB)),
         connections=int(body.get("connections", DEFAULT_CONNECTIONS)),
         configuration=body.get("configuration", FROM_OPERATORS),
-        bounds=Bounds(**bounds),
+        bounds=Bounds(),
     )
+    unread = {fault.path.split("/")[1] for fault in ignored}
+    if former is not None and "seeds" in unread and not settings.seeds:
+        settings = settings._replace(seeds=former.seeds)
+    if former is not None and "bounds" in unread and "bounds" not in body:
+        return settings._replace(bounds=former.bounds)
+    known = former.bounds if former is not None else settings.bounds
+    bounds = {}
+    for name, value in body.get("bounds", {}).items():
+        _read_bound(file, name, value, bounds, known, ignored)
+    return settings._replace(bounds=Bounds(**bounds))
 
 
 def _given(body):
-    """Return a body without the fields for which the platform has no value."""
+    """Return a body in the project's names, without the fields that have no value."""
     if not isinstance(body, dict):
         return body
+    fields = body.get("platform")
+    if isinstance(fields, dict):
+        port = body.get("metrics_port", DEFAULT_METRICS_PORT)
+        body = settings_from_fields(fields, port) | body
+    if "bounds" in body:
+        body = body | {"bounds": read_bound_table(body["bounds"])}
     return {name: value for name, value in body.items() if value is not None}
 
 
+def _drop_faulty(file, body, ignored):
+    """Take out of a body what can't be read and isn't needed."""
+    for error in list(VALIDATOR.iter_errors(body)):
+        name, index = [*error.absolute_path, None, None][:2]
+        if name not in OPTIONAL:
+            continue
+        ignored.append(_fault(file, error))
+        if name == "seeds" and index is not None:
+            body["seeds"] = [seed for seed in body["seeds"] if seed != error.instance]
+        else:
+            body.pop(name, None)
+
+
+def log_ignored(faults):
+    """Name values of the settings that can't be read and that others stand in for.
+
+    Parameters
+    ----------
+    faults : list of Fault
+        The values.
+    """
+    for fault in faults:
+        fields = {"path": fault.path, "value": fault.value, "reason": fault.message}
+        log_event(LOG, "setting-ignored", "error", file=fault.file, **fields)
+
+
 def parse_place(text):
     """Return the IP number and port of ``"IP:PORT"``.
 
@@ -287,13 +342,26 @@
     return Fault(file, path, str(error.instance)[:80], error.message[:160])
 
 
-def _read_bound(file, name, value, bounds):
-    """Add one bound; return a fault if its value can't be read."""
+def _read_bound(file, name, value, bounds, known, ignored):
+    """Add one bound; one that can't be read stays as it is known."""
+    field = SECONDS.get(name) or NUMBERS.get(name)
+    if field is None:
+        return
     try:
         if name in SECONDS:
-            bounds[SECONDS[name]] = parse_duration_s(value)
-        elif name in NUMBERS:
-            bounds[NUMBERS[name]] = float(value)
+            value = parse_duration_s(value)
+        number = _parse_number(value)
     except (RowError, TypeError, ValueError) as exc:
-        return Fault(file, f"/bounds/{name}", str(value), str(exc))
-    return None
+        bounds[field] = getattr(known, field)
+        ignored.append(Fault(file, f"/bounds/{name}", str(value), str(exc)))
+    else:
+        bounds[field] = number
+
+
+def _parse_number(value):
+    if isinstance(value, bool):
+        raise ValueError("must be a number")
+    number = float(value)
+    if not 0 <= number < math.inf:
+        raise ValueError("must be a number from 0")
+    return number
--- a/quetzalwall/process/front.py
+++ b/quetzalwall/process/front.py
@@ -17,7 +17,12 @@
 from quetzalwall.exceptions import SettingsError
 from quetzalwall.logs import describe_failure, get_logger, log_event
 from quetzalwall.platform.headers import PLATFORM_DIALECT
-from quetzalwall.platform.settings import FROM_TREE, format_places, read_settings
+from quetzalwall.platform.settings import (
+    FROM_TREE,
+    format_places,
+    log_ignored,
+    read_settings,
+)
 from quetzalwall.platform.store import create_store_client
 from quetzalwall.process.front_interfaces import create_interfaces
 from quetzalwall.process.front_metrics import create_front_metrics
@@ -255,12 +260,14 @@
         self._stopped.set()
 
     def reload(self):
-        """Read the settings file again; faulty settings change nothing."""
+        """Read the settings file again; what can't be read stays as it is."""
+        ignored = []
         try:
-            settings = read_settings(self._settings_file)
+            settings = read_settings(self._settings_file, ignored, self.settings)
         except SettingsError as exc:
             log_event(LOG, "settings-refused", "error", reason=exc.message)
             return
+        log_ignored(ignored)
         self._settings_seen = _modified(self._settings_file)
         self.limits.retries.configure(settings.bounds)
         self.limits.cold.configure(settings.bounds)
