Refuse addresses and ports that can't exist

Callers got nothing from an instance whose store stood at port 99999: it ran on and never reached it. Cause: the pattern for addresses took 10.0.0.300, and ports 0 and 70000.

--- a/quetzalwall/platform/settings.py
+++ b/quetzalwall/platform/settings.py
@@ -7,6 +7,7 @@
 
 import math
 import os
+import socket
 from typing import NamedTuple
 
 import jsonschema
@@ -30,9 +31,10 @@
 ]
 
 PATH_VARIABLE = "QUETZALWALL_NODE_FILE"
-PLACE = {"type": "string", "pattern": r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$"}
+PLACE = {"type": "string", "format": "place"}
 NAME = {"type": "string", "minLength": 1}
 AMOUNT = {"type": "number", "exclusiveMinimum": 0, "maximum": 1e9}
+MOST_PORT = 65535
 FROM_OPERATORS, FROM_TREE = "operators", "tree"  # where the configuration comes from
 DEFAULT_LINK_MBPS = 1000.0
 DEFAULT_MEMORY_MB = 300.0
@@ -44,7 +46,7 @@
     + ["peer_ports", "store"],
     "properties": {
         "instance": NAME,
-        "address": {"type": "string", "pattern": r"^\d{1,3}(\.\d{1,3}){3}$"},
+        "address": {"type": "string", "format": "address"},
         "region": NAME,
         "domain": NAME,
         "domains": {"type": "object", "additionalProperties": NAME},
@@ -55,7 +57,7 @@
         },
         "peer_ports": {
             "type": "array",
-            "items": {"type": "integer", "minimum": 1, "maximum": 65535},
+            "items": {"type": "integer", "minimum": 1, "maximum": MOST_PORT},
             "minItems": 2,
             "maxItems": 2,
         },
@@ -91,7 +93,23 @@
 
 
 LOG = get_logger("settings")
-VALIDATOR = jsonschema.Draft202012Validator(SCHEMA)
+FORMATS = jsonschema.FormatChecker(formats=())
+
+
+@FORMATS.checks("address", raises=OSError)
+def _check_address(text):
+    return not isinstance(text, str) or bool(socket.inet_pton(socket.AF_INET, text))
+
+
+@FORMATS.checks("place", raises=(OSError, ValueError))
+def _check_place(text):
+    if not isinstance(text, str):
+        return True
+    host, port = parse_place(text)
+    return _check_address(host) and 0 < port <= MOST_PORT
+
+
+VALIDATOR = jsonschema.Draft202012Validator(SCHEMA, format_checker=FORMATS)
 
 
 class Bounds(NamedTuple):
