Judge an installation by nothing but itself

"The system did not start from its deploy file": the build said that the installation is complete while it lacked a library, since the check found that of the building user or of the system, which the instances need not see. It runs with neither now. Before: test_libraries_of_the_building_user_do_not_count_as_installed fails; after: passes.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -236,8 +236,10 @@
     program = (
         f"import sys; sys.path.insert(0, sys.argv[1]); import {', '.join(modules)}"
     )
+    # Neither the user's libraries nor those of the system: instances may lack them.
+    flags = ["-I", "-S"] if keep else ["-I", "-S", "-B"]
     done = subprocess.run(
-        [interface.python, *([] if keep else ["-B"]), "-c", program, str(folder)],
+        [interface.python, *flags, "-c", program, str(folder)],
         stdin=subprocess.DEVNULL,
         stdout=subprocess.DEVNULL,
         stderr=subprocess.PIPE,
--- a/deploy/tests/test_installed_libraries.py
+++ b/deploy/tests/test_installed_libraries.py
@@ -1,6 +1,13 @@
 import shutil
 
-from deploy.tests.test_build import LIBRARIES, checkout, finish, missing, start_build
+from deploy.tests.test_build import (
+    FOLDER,
+    LIBRARIES,
+    checkout,
+    finish,
+    missing,
+    start_build,
+)
 
 
 def write_elsewhere(root):
@@ -17,7 +24,7 @@
     with checkout() as (root, registry):
         assert finish(start_build(root, registry))[0] == 0
         write_elsewhere(root)
-        shutil.rmtree(root / "target/deps/xxhash")
+        shutil.rmtree(root / FOLDER / "xxhash")
         status, said = finish(start_build(root, registry))
         assert status == 0, said
         assert not missing(root)
