Open folders that were there before to the instances' user

"The system did not start from its deploy file": a folder `target` that something else had made for its user alone kept its mode, and the build said yes; instances of another user could not enter it. Before: test_another_user_can_enter_a_folder_that_was_there_before fails; after: passes, with all of test_build (11 passed).

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -201,6 +201,8 @@
 
     if lacking():
         target.mkdir(parents=True, exist_ok=True)
+        for folder in (target.parent, target):  # may have been there before
+            folder.chmod(folder.stat().st_mode | SEARCHABLE)
         with _only_build(target):
             if needed:
                 _drop_leftovers(target)
