Let no setting of pip move the installation

"The system did not start from its deploy file": the build inherits all of its caller's variables. PIP_USER, PIP_PREFIX or `user = true` in a file made it fail; with PIP_ROOT or PIP_DRY_RUN nothing was installed where the instances look. What moves or suppresses an installation is set aside now; the index, proxies and certificates stay as they are. Before: both tests of test_pip_settings fail; after: pass.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -41,6 +41,9 @@
 INSTALL_LIMIT_S = 150.0  # of one attempt; the platform ends a build after 15 min
 ASK_LIMIT_S = 10.0
 USUAL_PLACES = ("/usr/local/bin", "/usr/bin")
+# A user's settings of pip that move an installation elsewhere or have none made.
+PIP_OFF = ("PIP_USER", "PIP_REQUIRE_VIRTUALENV", "PIP_DRY_RUN", "PIP_NO_DEPS")
+PIP_UNSET = ("PIP_TARGET", "PIP_PREFIX", "PIP_ROOT")
 AT_FDCWD, RENAME_EXCHANGE = -100, 2  # of renameat2(2)
 NO_EXCHANGE = (errno.EINVAL, errno.ENOSYS, errno.EPERM)  # not on this file system
 READABLE, SEARCHABLE = 0o444, 0o555  # by any user, of files and of folders
@@ -309,9 +312,11 @@
 
 
 def _succeeds(command):
+    environ = {k: v for k, v in os.environ.items() if k not in PIP_UNSET}
+    environ |= dict.fromkeys(PIP_OFF, "0")
     try:
         done = subprocess.run(
-            command, stdin=subprocess.DEVNULL, timeout=INSTALL_LIMIT_S
+            command, stdin=subprocess.DEVNULL, timeout=INSTALL_LIMIT_S, env=environ
         )
     except subprocess.TimeoutExpired:
         return False
