Believe a refusal only where nothing speaks against it

Seen in tests: on a new connection a nameless refusal behind another request's answer was taken for the request's own, and "not run" was said where the endpoint's answer to the same request lay behind the refusal.

Cause: "new connection" was taken for proof though it had already brought what belongs to no request, and the first fitting answer was taken before the others were looked at. Now a nameless answer counts only as the very first of its connection and gives way to one that names the request; an endpoint that refuses and answers one request, both at hand, leaves its outcome unknown. One that only refuses, once or twice, has refused.

Not covered: an answer that arrives after the refusal was read; nobody waits for it.

--- a/quetzalwall/connection/endpoint_client.py
+++ b/quetzalwall/connection/endpoint_client.py
@@ -308,11 +308,14 @@
     def _receive(self, parser):
         name, request_id = self._client.name, self._exchange.request_id
         while True:
-            while parser.answers:
-                answer = parser.answers.pop(0)
-                facts = self._client.read_facts(answer)
-                if self._connection.is_own(request_id, facts.request_id):
-                    return answer, facts
+            answers, parser.answers = parser.answers, []
+            told = [self._client.read_facts(answer) for answer in answers]
+            names = [facts.request_id for facts in told]
+            index = self._connection.own(request_id, names)
+            if index is not None:
+                parser.answers = answers[index + 1 :]
+                _check_agreed(told, index, name)
+                return answers[index], told[index]
             self._read_more(parser, name)
 
     def _read_more(self, parser, name):
@@ -356,6 +359,14 @@
                     raise OutcomeUnknown(message, "await", name) from None
 
 
+def _check_agreed(told, index, name):
+    """Raise if an endpoint refused a request and answered it as well."""
+    facts = told[index]
+    same = [other for other in told if other.request_id == facts.request_id]
+    if any(other.not_run != facts.not_run for other in same):
+        raise IncompleteAnswer("endpoint refused and answered", "match", name)
+
+
 def _send_quietly(sock, raw):
     """Send; a connection that breaks is noticed where the answer is read."""
     try:
--- a/quetzalwall/connection/endpoint_connection.py
+++ b/quetzalwall/connection/endpoint_connection.py
@@ -29,6 +29,7 @@
     def __init__(self, sock):
         self.sock = sock
         self._recent = deque(maxlen=RECENT)
+        self._answered = False
 
     @property
     def fresh(self):
@@ -59,24 +60,26 @@
         """
         self._recent.append(request_id)
 
-    def is_own(self, request_id, named):
-        """Return whether an answer is that of the request that was begun last.
+    def own(self, request_id, names):
+        """Return which answer is that of the request that was begun last.
 
         Parameters
         ----------
         request_id : str
             Identity of the request; empty if it has none.
-        named : str or None
-            Identity that the answer names.
+        names : sequence of (str or None)
+            Identities that the answers name, in the order in which they arrived.
 
         Returns
         -------
-        bool
+        int or None
         """
-        if not named:
-            # On a kept connection it may answer an earlier request, a refusal too.
-            return len(self._recent) == 1
-        return named == request_id
+        first = not self._answered
+        self._answered = self._answered or bool(names)
+        if request_id and request_id in names:
+            return names.index(request_id)
+        # Later ones may answer an earlier request or nothing, refusals too.
+        return 0 if first and names and not names[0] else None
 
     def close(self):
         """Close it."""
--- a/quetzalwall/connection/tests/test_whose_answer.py
+++ b/quetzalwall/connection/tests/test_whose_answer.py
@@ -144,3 +144,16 @@
     with client_of(replies(nameless, nameless)) as client:
         assert [outcome(client, name) for name in "abc"] == [b"ok"] * 3
         assert client.opened == 3
+
+
+# A refusal behind another request's answer was taken for the request's own.
+def test_a_nameless_refusal_must_be_the_first_on_a_new_connection():
+    with client_of(replies(answer("other") + refusal())) as client:
+        assert outcome(client, "a") == "unknown"
+
+
+# "Not run" was said of requests that the endpoint also answered.
+@params((refusal("a"), "unknown"), (refusal(), b"ok"))
+def test_a_refusal_is_no_evidence_beside_an_answer(raw, expected):
+    with client_of(replies(raw + answer("a"))) as client:
+        assert outcome(client, "a") == expected
