Send nothing on a new connection on which the endpoint spoke first or closed

Seen in tests: what an endpoint wrote on a new connection before anything was sent was taken for the answer, a refusal or a 200; a connection that had ended already cost the request its outcome ("unknown"), though not a byte of it had left.

Cause: only kept connections were looked at before they were used. A new one is looked at now, after the last check for the caller; the request has not run and may go elsewhere, within the allowance for retries.

Not covered: bytes that cross with the request. If they name none they are taken as the first answer of their connection.

--- a/quetzalwall/connection/endpoint_client.py
+++ b/quetzalwall/connection/endpoint_client.py
@@ -270,8 +270,8 @@
     def run(self, raw):
         request_id = self._exchange.request_id
         self._connection = self._client.take(self._exchange.idempotent, request_id)
-        if self._connection.fresh and self._exchange.check_wanted is not None:
-            self._exchange.check_wanted()
+        if self._connection.fresh:
+            self._check_new()
         self.sent = True
         self._connection.begin(request_id)
         self._send(raw)
@@ -292,6 +292,14 @@
         if self._taken:
             self._exchange.hold.give_back(self._taken)
 
+    def _check_new(self):
+        """Raise if the request need not or must not go out on a new connection."""
+        if self._exchange.check_wanted is not None:
+            self._exchange.check_wanted()
+        if readable_now(self._connection.sock):
+            # Neither bytes nor an end can be an answer to what was not sent.
+            raise NotRun("endpoint spoke first", "connect", self._client.name)
+
     def _clear(self, parser):
         """Return whether all was sent and nothing follows the answer."""
         unsent = self._sender is not None and not self._sender.ready()
--- a/quetzalwall/connection/tests/test_whose_answer.py
+++ b/quetzalwall/connection/tests/test_whose_answer.py
@@ -5,7 +5,7 @@
 import gevent
 from nose2.tools import params
 
-from quetzalwall.connection.endpoint_client import create_endpoint_client
+from quetzalwall.connection.endpoint_client import Exchange, create_endpoint_client
 from quetzalwall.connection.product_headers import PRODUCT_DIALECT
 from quetzalwall.connection.tests.test_endpoint_client import (
     ID,
@@ -157,3 +157,26 @@
 def test_a_refusal_is_no_evidence_beside_an_answer(raw, expected):
     with client_of(replies(raw + answer("a"))) as client:
         assert outcome(client, "a") == expected
+
+
+# What came before the request was sent was taken for its answer.
+@params(refusal(), refusal("a"), answer("a"), b"HTTP/1.1 5", b"")
+def test_nothing_is_sent_to_an_endpoint_that_speaks_or_closes_first(raw):
+    read = []
+
+    def serve(sock, address):
+        sock.sendall(raw)
+        if raw:
+            read.append(sock.recv(65536))
+        sock.close()
+
+    with client_of(serve) as client:
+        headers = {"Host": "h", ID: "a"}
+        req = Exchange("POST", "/x", headers, b"", "a", False)
+        req = req._replace(check_wanted=lambda: gevent.sleep(0.05))
+        try:
+            client.exchange(req, time.monotonic() + 1.0)
+            raise AssertionError("taken for the answer")
+        except NotRun:
+            gevent.sleep(0.05)
+    assert read in ([], [b""])
