Keep trailers apart from an answer's headers

Seen by a caller in a trial: an endpoint ran a request and answered 200 in chunks, with a trailer of the name that says "not run" and two more behind it. The caller got 503, "not run: status 200".

Cause: the parser of the library adds all trailers but the last to the headers, and they were read when the answer was complete. They are read now when the head is complete.

With it tests of the parser that passed before as well: for a drawn answer (GET, POST, HEAD; length, chunks, end of the connection; 204, 304, 1xx before it, trailers) no cut gives a whole answer, pieces give what the whole gives, and an answer that is unsure of its length (12 forms) is none. An answer without any framing ends with its connection: of it only cuts in the head can be told.

--- a/quetzalwall/connection/answer_parser.py
+++ b/quetzalwall/connection/answer_parser.py
@@ -21,7 +21,7 @@
     status : int
         HTTP status.
     headers : list of (str, str)
-        Its headers.
+        Its headers, without trailers.
     body : bytes
         Its whole body.
     reusable : bool
@@ -58,6 +58,7 @@
         self.answers = []
         self.received = 0
         self._body_bytes = 0
+        self._head = []
 
     def feed(self, data):
         """Parse bytes from the connection.
@@ -104,12 +105,17 @@
         self._body_bytes += len(buf)
         super()._on_body(buf)
 
+    def _on_headers_complete(self):
+        result = super()._on_headers_complete()
+        # Trailers come behind the body and speak of it, not of the request.
+        self._head = [(str(name), str(value)) for name, value in self.items()]
+        return result
+
     def _on_message_complete(self):
         super()._on_message_complete()
         status = self.get_code()
         body, self._body_buffer = bytes(self._body_buffer), bytearray()
         if status >= LOWEST_FINAL_STATUS:
-            headers = [(str(name), str(value)) for name, value in self.items()]
             self.answers.append(
-                ParsedAnswer(status, headers, body, bool(self.should_keep_alive()))
+                ParsedAnswer(status, self._head, body, bool(self.should_keep_alive()))
             )
