--- a/quetzalwall/connection/answer_parser.py
+++ b/quetzalwall/connection/answer_parser.py
@@ -10,6 +10,7 @@
 __all__ = ["AnswerParser", "ParsedAnswer"]
 
 LOWEST_FINAL_STATUS = 200
+CODING = "transfer-encoding"
 MOST_FRAMING = 8  # bytes of chunked framing for each byte of a body in tiny chunks
 
 
@@ -109,6 +110,9 @@
         result = super()._on_headers_complete()
         # Trailers come behind the body and speak of it, not of the request.
         self._head = [(str(name), str(value)) for name, value in self.items()]
+        codings = [value for name, value in self._head if name.lower() == CODING]
+        if any(value.strip().lower() != "chunked" for value in codings):
+            raise HTTPParseError(f"body in an unknown coding: {codings}")
         return result
 
     def _on_message_complete(self):
--- a/quetzalwall/connection/tests/test_answer_parser.py
+++ b/quetzalwall/connection/tests/test_answer_parser.py
@@ -103,6 +103,14 @@
     assert parsed([HEAD + rest]) == []
 
 
+# The bytes of an unknown encoding passed for the endpoint's body, ended anywhere.
+@params("gzip", "identity", "chunked, gzip", "gzip, chunked", "xchunked")
+def test_an_answer_in_an_encoding_that_is_not_understood_is_none(coding):
+    raw = HEAD + f"Transfer-Encoding: {coding}\r\n\r\n5\r\nhello\r\n0\r\n\r\n".encode()
+    assert parsed([raw]) == []
+    assert parsed([HEAD + b"Transfer-Encoding: chunked\r\n" + raw[len(HEAD) :]]) == []
+
+
 # Trailers said "not run" of a request that was answered.
 def test_trailers_are_no_headers():
     trailers = b"X-Not-Run: 1\r\nX-Request-Id: b\r\nEnd: 1\r\n\r\n"
