Test what callers get of answers that are cut at any byte

Operators reported a 200 with an empty or short body, framed as whole, of an endpoint that stopped in the middle of its head and closed. Tried on the way to the caller, byte for byte: each cut of nine forms of answers (length first or last, length 0, chunks, trailers, 103 before, 204, 304, end of the connection), in one piece and in two, with HEAD, and answers without a length that are reset. Heads end at an empty line only; a library that ends them with the connection (as http.client does) is not in use.

--- /dev/null
+++ b/quetzalwall/process/tests/test_cut_answers.py
@@ -0,0 +1,132 @@
+"""What callers get, byte for byte, of an answer that its endpoint cuts at any byte."""
+
+import struct
+
+import gevent
+import gevent.socket
+from nose2.tools import params
+
+from quetzalwall.tests.platform_fixtures import HOST, running_site
+
+LINGER = struct.pack("ii", 1, 0)  # close with a reset
+NAME = "X-Quetzalwall-Request-Id: 0123456789abcdef\r\n"
+STAMP = "X-Quetzalwall-Server-Stamp: s\r\n"
+OK = f"HTTP/1.1 200 OK\r\n{STAMP}{NAME}".encode()
+HINTS = b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+FORMS = {
+    "length": (OK + b"Content-Length: 5\r\n\r\n", b"hello"),
+    "length first": (
+        b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n" + OK[17:] + b"\r\n",
+        b"hello",
+    ),
+    "no body": (OK + b"Content-Length: 0\r\n\r\n", b""),
+    "chunks": (
+        OK + b"Transfer-Encoding: chunked\r\n\r\n",
+        b"2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n",
+    ),
+    "trailer": (
+        OK + b"Transfer-Encoding: chunked\r\n\r\n",
+        b"5\r\nhello\r\n0\r\nT: v\r\n\r\n",
+    ),
+    "interim": (HINTS + OK + b"Content-Length: 5\r\n\r\n", b"hello"),
+    "204": (OK.replace(b"200 OK", b"204 No Content") + b"\r\n", b""),
+    "304": (OK.replace(b"200 OK", b"304 Not Modified") + b"\r\n", b""),
+    "end of connection": (OK + b"Connection: close\r\n\r\n", b"hello"),
+}
+
+
+class Cutter:
+    """An endpoint that sends some pieces and closes."""
+
+    def __init__(self, site):
+        self.pieces = []
+        self.resets = False
+        self._site = site
+        self._state = site.fronts[0].endpoints.get("ep-0")
+        site.endpoints[0].server.set_handle(self._serve)
+
+    def _serve(self, sock, address):
+        raw = b""
+        while b"\r\n\r\n" not in raw:
+            data = sock.recv(65536)
+            if not data:
+                return
+            raw += data
+        for piece in self.pieces:
+            sock.sendall(piece)
+            gevent.sleep(0)
+        if self.resets:
+            gevent.sleep(0.02)  # a reset at once would take the bytes with it
+            sock.setsockopt(gevent.socket.SOL_SOCKET, gevent.socket.SO_LINGER, LINGER)
+        sock.close()
+
+    def ask(self, *pieces, method="GET", target="/look/1"):
+        """Return all bytes that a caller gets while the endpoint sends these."""
+        self.pieces = pieces
+        self._state.note_success()  # it is not to be avoided
+        place = (self._site.fronts[0].settings.address, self._site.ports[0])
+        sock = gevent.socket.create_connection(place)
+        head = f"{method} {target} HTTP/1.1\r\nHost: {HOST}\r\n{NAME}"
+        sock.sendall(f"{head}Connection: close\r\n\r\n".encode())
+        got = b"".join(iter(lambda: sock.recv(65536), b""))
+        sock.close()
+        return got
+
+
+def told(got):
+    """Return status, header lines and body of an answer whose framing holds."""
+    head, _, body = got.partition(b"\r\n\r\n")
+    line, *lines = head.split(b"\r\n")
+    status = int(line.split()[1])
+    lengths = [int(text[16:]) for text in lines if text.startswith(b"Content-Length: ")]
+    assert lengths == ([] if status in (204, 304) else [len(body)])
+    return status, lines, body
+
+
+# Callers got a 200 with an empty or short body, framed as whole.
+@params(*FORMS)
+def test_a_cut_answer_never_looks_whole(form):
+    head, rest = FORMS[form]
+    raw, whole = head + rest, b"hello" if rest else b""
+    ends = len(head) if form == "end of connection" else len(raw)
+    with running_site(endpoints=1) as site:
+        cutter = Cutter(site)
+        status, lines, body = told(cutter.ask(raw))
+        assert (status, body) == (int(form) if form.isdigit() else 200, whole)
+        assert STAMP.strip().encode() in lines
+        for cut in range(ends):
+            for pieces in ((raw[:cut],), (raw[: cut // 2], raw[cut // 2 : cut])):
+                status, lines, _ = told(cutter.ask(*pieces))
+                assert (cut, status) == (cut, 502)
+                assert STAMP.strip().encode() not in lines
+
+
+def test_pieces_look_like_the_whole():
+    with running_site(endpoints=1) as site:
+        cutter = Cutter(site)
+        for head, rest in FORMS.values():
+            raw = head + rest
+            whole = told(cutter.ask(raw))
+            for cut in range(1, len(raw)):
+                got = told(cutter.ask(raw[:cut], raw[cut:]))
+                assert (got[0], got[2]) == (whole[0], whole[2]), cut
+
+
+@params("length", "no body", "interim", "204")
+def test_a_cut_answer_to_head_never_looks_whole(form):
+    head = FORMS[form][0]
+    with running_site(endpoints=1) as site:
+        cutter = Cutter(site)
+        expected = b"204" if form == "204" else b"200"
+        assert cutter.ask(head, method="HEAD").split()[1] == expected
+        for cut in range(len(head)):
+            assert told(cutter.ask(head[:cut], method="HEAD"))[0] == 502
+
+
+def test_an_answer_without_a_length_that_is_reset_is_not_whole():
+    head, rest = FORMS["end of connection"]
+    with running_site(endpoints=1) as site:
+        cutter = Cutter(site)
+        cutter.resets = True
+        for cut in range(len(head), len(head + rest) + 1):
+            assert told(cutter.ask((head + rest)[:cut]))[0] == 502
