Pass on no success that does not bear the endpoint's one stamp

Cause: nobody looked at the stamp, though on the platform a success comes with it; and an answer without a length that ends with its connection can't be told from a head that lacks lines. What an endpoint's own answer must bear is the dialect's matter now (`AnswerFacts.sound`); the product's endpoints have no stamp, and nothing changes there. An answer that lacks it counts as a failure of its endpoint: an idempotent request goes elsewhere, any other ends with 502.

Not told from a whole one: a stamped answer without a length, closed in its body.

Before: 3 of 9 cases of test_spoiled_answers failed. After: all pass, with test_cut_answers and test_front (56).

--- a/quetzalwall/connection/dialect.py
+++ b/quetzalwall/connection/dialect.py
@@ -76,6 +76,8 @@
         Seconds for which it keeps an idle connection.
     headers : list of (str, str)
         Headers to pass on.
+    sound : bool, default=True
+        Whether it bears what an endpoint's own answer must bear.
     """
 
     request_id: str | None
@@ -85,6 +87,7 @@
     cold_s: float | None
     keep_alive_s: float | None
     headers: list
+    sound: bool = True
 
 
 class Dialect(NamedTuple):
--- a/quetzalwall/platform/headers.py
+++ b/quetzalwall/platform/headers.py
@@ -32,7 +32,9 @@
 OBJECT_COOKIE = "X-Quetzalwall-Affinity-Key"
 OWN = frozenset((DEADLINE.lower(), EXPECT.lower()))
 READY_PATH = "/ready"
+STAMP = "X-Quetzalwall-Server-Stamp"
 MISDIRECTED = 421
+SUCCESS = range(200, 300)
 
 
 def caller_facts(environ):
@@ -100,6 +102,7 @@
     found = by_name(items)
     skipped = HOP_HEADERS | {LOAD.lower(), REQUEST_ID.lower(), "date"}
     passed = [(name, value) for name, value in items if name.lower() not in skipped]
+    stamps = sum(name.lower() == STAMP.lower() for name, _ in items)
     if REQUEST_ID.lower() in found:
         passed.append((REQUEST_ID, found[REQUEST_ID.lower()]))
     return AnswerFacts(
@@ -110,6 +113,7 @@
         cold_s=_milliseconds(found.get(COLD.lower())),
         keep_alive_s=_keep_alive_s(found.get("keep-alive", "")),
         headers=passed,
+        sound=status not in SUCCESS or stamps == 1,
     )
 
 
--- a/quetzalwall/process/tests/test_spoiled_answers.py
+++ b/quetzalwall/process/tests/test_spoiled_answers.py
@@ -39,6 +39,20 @@
         assert len(endpoint.arrivals) == 1
 
 
+# Success came to callers without the stamp, of a head that was empty but for its name.
+@params("", "Content-Length: 0\r\n", f"{STAMP}: s\r\n{STAMP}: t\r\n")
+def test_a_success_that_does_not_bear_one_stamp_is_none(lines):
+    raw = f"HTTP/1.1 200 OK\r\n{NAME}: 0123456789abcdef\r\n{lines}\r\n"
+    with running_site(endpoints=1) as site:
+        cutter = Cutter(site)
+        for target, method in (("/look/1", "GET"), ("/book/1", "POST")):
+            status, got, _ = told(
+                cutter.ask(raw.encode(), method=method, target=target)
+            )
+            assert status == 502
+            assert not any(line.startswith(STAMP.encode()) for line in got)
+
+
 # Where a head stopped and another began, "not run" was said of what was answered.
 def test_a_head_that_names_two_requests_refuses_neither():
     old = f"HTTP/1.1 503 No\r\nX-Quetzalwall-Request-Not-Run: 1\r\n{NAME}: a\r\nX-T: u"
