Pass on no promise of "not run" that the endpoint didn't make

Cause: the status of any answer that was not a refusal was passed on. The caller gets 502 now, without the endpoint's stamp. An idempotent request keeps the endpoint's status, and a refusal that says "not run" is one as before.

--- a/quetzalwall/connection/dialect.py
+++ b/quetzalwall/connection/dialect.py
@@ -78,6 +78,8 @@
         Headers to pass on.
     sound : bool, default=True
         Whether it bears what an endpoint's own answer must bear.
+    promise : bool, default=False
+        Whether callers take its status for "not run", which the endpoint didn't say.
     """
 
     request_id: str | None
@@ -88,6 +90,7 @@
     keep_alive_s: float | None
     headers: list
     sound: bool = True
+    promise: bool = False
 
 
 class Dialect(NamedTuple):
--- a/quetzalwall/platform/headers.py
+++ b/quetzalwall/platform/headers.py
@@ -35,6 +35,7 @@
 STAMP = "X-Quetzalwall-Server-Stamp"
 MISDIRECTED = 421
 SUCCESS = range(200, 300)
+PROMISES = (408, 421, 429, 503)
 
 
 def caller_facts(environ):
@@ -102,18 +103,20 @@
     found = by_name(items)
     skipped = HOP_HEADERS | {LOAD.lower(), REQUEST_ID.lower(), "date"}
     passed = [(name, value) for name, value in items if name.lower() not in skipped]
+    not_run = NOT_RUN.lower() in found or status == MISDIRECTED
     stamps = sum(name.lower() == STAMP.lower() for name, _ in items)
     if REQUEST_ID.lower() in found:
         passed.append((REQUEST_ID, found[REQUEST_ID.lower()]))
     return AnswerFacts(
         request_id=found.get(REQUEST_ID.lower()),
-        not_run=NOT_RUN.lower() in found or status == MISDIRECTED,
+        not_run=not_run,
         misdirected=status == MISDIRECTED,
         load=_load(found.get(LOAD.lower())),
         cold_s=_milliseconds(found.get(COLD.lower())),
         keep_alive_s=_keep_alive_s(found.get("keep-alive", "")),
         headers=passed,
         sound=status not in SUCCESS or stamps == 1,
+        promise=status in PROMISES and not not_run,
     )
 
 
--- a/quetzalwall/process/tests/test_spoiled_answers.py
+++ b/quetzalwall/process/tests/test_spoiled_answers.py
@@ -53,6 +53,25 @@
             assert not any(line.startswith(STAMP.encode()) for line in got)
 
 
+# Callers were promised "not run" by statuses of endpoints that promised nothing.
+@params(408, 429, 503)
+def test_a_promise_is_passed_on_only_if_the_endpoint_made_it(status):
+    raw = f"HTTP/1.1 {status} No\r\n{NAME}: 0123456789abcdef\r\n{STAMP}: s\r\n"
+    raw = f"{raw}Content-Length: 0\r\n\r\n".encode()
+    with running_site(endpoints=1) as site:
+        cutter = Cutter(site)
+        got, lines, _ = told(cutter.ask(raw, method="POST", target="/book/1"))
+        assert got == 502
+        assert not any(line.startswith(STAMP.encode()) for line in lines)
+
+
+def test_an_answer_to_an_idempotent_request_keeps_its_status():
+    raw = f"HTTP/1.1 429 No\r\n{NAME}: 0123456789abcdef\r\n{STAMP}: s\r\n"
+    with running_site(endpoints=1) as site:
+        got = Cutter(site).ask(f"{raw}Content-Length: 0\r\n\r\n".encode())
+        assert told(got)[0] == 429
+
+
 # Where a head stopped and another began, "not run" was said of what was answered.
 def test_a_head_that_names_two_requests_refuses_neither():
     old = f"HTTP/1.1 503 No\r\nX-Quetzalwall-Request-Not-Run: 1\r\n{NAME}: a\r\nX-T: u"
--- a/quetzalwall/request/serve.py
+++ b/quetzalwall/request/serve.py
@@ -330,12 +330,13 @@
         if facts.not_run:
             state.note_shed(now)
             raise NotRun(f"status {answer.status}", "endpoint", state.name)
-        if answer.status >= FIRST_FAILURE or not facts.sound:
+        kept = facts.sound and (req.route.idempotent or not facts.promise)
+        if answer.status >= FIRST_FAILURE or not kept:
             state.note_failure(now)
         else:
             state.note_success()
-        if not facts.sound:
-            raise IncompleteAnswer("not the endpoint's own", "answer", state.name)
+        if not kept:
+            raise IncompleteAnswer(f"status {answer.status}", "answer", state.name)
         if req.object_key is not None:
             state.note_held(req.object_key)
             self._knowledge.fleet.note_held(state.name, req.object_key)
