Keep the status of a call's answer apart from what follows it

Seen in tests: a peer writes 200 to a call and another answer behind it, in one segment. The call got the status of the second, so that one that was done was told 503, "nothing was done"; where only a beginning followed, it got no answer at all.

Cause: status and body of the first answer were kept apart, but the status was asked of the parser, which knows the last answer only. It is kept now when the answer is complete.

Tried with it, no fault: every cut of five forms of answers to calls (length, length 0, chunks, 103 before, end of the connection) in one piece and in two; answers that come after their call was given up. Not covered: calls name no request, so that a second answer that arrives just while the next call is sent can't be told; one that waits ends the connection.

--- a/quetzalwall/connection/single_attempt.py
+++ b/quetzalwall/connection/single_attempt.py
@@ -229,9 +229,19 @@
         self._request_id = req.request_id
         self._fed = 0
         self._ended = False
+        self._code = 0
         self._excess = False
         super().__init__(sock, pool=pool, block_size=BLOCK_SIZE, method=req.method)
 
+    def get_code(self):
+        """Return the status of this answer, whatever began behind it.
+
+        Returns
+        -------
+        int
+        """
+        return self._code if self._ended else super().get_code()
+
     def should_close(self):
         """Return whether the connection is unfit for another request.
 
@@ -339,7 +349,8 @@
     def _on_message_complete(self):
         if self._ended:
             return
-        self._ended = self.get_code() >= LOWEST_FINAL_STATUS
+        self._code = super().get_code()
+        self._ended = self._code >= LOWEST_FINAL_STATUS
         # The class between would return the connection to the pool already here,
         # before the rest of the segment has been looked at.
         HTTPResponse._on_message_complete(self)
