Look for silence also after an answer that was dropped

Seen in tests: an endpoint writes an earlier answer or refusal, or a 1xx, and is silent then. An idempotent request waited there to its deadline, while one to an endpoint that writes nothing goes elsewhere as soon as it is known to answer nobody.

Cause: the looks ended with the first byte. They go on now while no answer is under way.

--- a/quetzalwall/connection/endpoint_client.py
+++ b/quetzalwall/connection/endpoint_client.py
@@ -357,7 +357,7 @@
 
     def _await_bytes(self, parser, name):
         hopeless = self._exchange.hopeless
-        while hopeless is not None and not parser.received:
+        while hopeless is not None and (not parser.received or parser.clean()):
             try:
                 gevent.socket.wait_read(self._connection.sock.fileno(), timeout=LOOK_S)
                 return
--- a/quetzalwall/connection/tests/test_whose_answer.py
+++ b/quetzalwall/connection/tests/test_whose_answer.py
@@ -15,7 +15,7 @@
     exchange,
     replies,
 )
-from quetzalwall.exceptions import EndpointError, NotRun
+from quetzalwall.exceptions import EndpointError, NotRun, OutcomeUnknown
 
 NOT_RUN = "X-Quetzalwall-Request-Not-Run: 1\r\n"
 
@@ -182,3 +182,19 @@
         except NotRun:
             gevent.sleep(0.05)
     assert read in ([], [b""])
+
+
+# A request waited to its deadline at an endpoint that was silent but for an old answer.
+@params(answer("old"), refusal(), refusal("old"), b"HTTP/1.1 103 Hints\r\n\r\n")
+def test_a_silent_endpoint_is_left_though_it_wrote_what_is_dropped(raw):
+    with client_of(replies(answer("a"), raw)) as client:
+        assert outcome(client, "a") == b"ok"
+        headers = {"Host": "h", ID: "b"}
+        req = Exchange("GET", "/x", headers, b"", "b", True, hopeless=lambda: True)
+        began = time.monotonic()
+        try:
+            client.exchange(req, began + 3.0)
+            raise AssertionError("answered")
+        except OutcomeUnknown as exc:
+            assert exc.message == "endpoint answers nobody"
+        assert time.monotonic() - began < 1.0
