--- a/quetzalwall/platform/headers.py
+++ b/quetzalwall/platform/headers.py
@@ -7,6 +7,7 @@
     AnswerFacts,
     CallerFacts,
     Dialect,
+    by_name,
     passed_headers,
 )
 from quetzalwall.connection.http_server import BadRequest
@@ -31,7 +32,10 @@
 OBJECT_COOKIE = "X-Quetzalwall-Affinity-Key"
 OWN = frozenset((DEADLINE.lower(), EXPECT.lower()))
 READY_PATH = "/ready"
+STAMP = "X-Quetzalwall-Server-Stamp"
 MISDIRECTED = 421
+SUCCESS = range(200, 300)
+PROMISES = (408, 421, 429, 503)
 
 
 def caller_facts(environ):
@@ -96,19 +100,23 @@
     -------
     AnswerFacts
     """
-    found = {name.lower(): value for name, value in items}
+    found = by_name(items)
     skipped = HOP_HEADERS | {LOAD.lower(), REQUEST_ID.lower(), "date"}
     passed = [(name, value) for name, value in items if name.lower() not in skipped]
+    not_run = NOT_RUN.lower() in found or status == MISDIRECTED
+    stamps = sum(name.lower() == STAMP.lower() for name, _ in items)
     if REQUEST_ID.lower() in found:
         passed.append((REQUEST_ID, found[REQUEST_ID.lower()]))
     return AnswerFacts(
         request_id=found.get(REQUEST_ID.lower()),
-        not_run=NOT_RUN.lower() in found or status == MISDIRECTED,
+        not_run=not_run,
         misdirected=status == MISDIRECTED,
         load=_load(found.get(LOAD.lower())),
         cold_s=_milliseconds(found.get(COLD.lower())),
         keep_alive_s=_keep_alive_s(found.get("keep-alive", "")),
         headers=passed,
+        sound=status not in SUCCESS or stamps == 1,
+        promise=status in PROMISES and not not_run,
     )
 
 
@@ -160,7 +168,7 @@
 
 def _load(text):
     parts = (text or "").split(",")
-    if len(parts) < 3:
+    if len(parts) not in (3, 4):
         return None
     try:
         figures = [int(part) for part in parts[:4]]
