Plan callers and connections to endpoints for the descriptors together

Now all connections to endpoints, at work and idle, are counted together and have a fifth; 5 % remain for the listeners themselves, the store and other instances. The plan is for the soft limit of the process where that is lower than the settings.

Where there are 400 descriptors only, 40 requests are at work at once and others refused; with 4,100 it is 780 by the plan.

--- a/quetzalwall/cli/front_command.py
+++ b/quetzalwall/cli/front_command.py
@@ -12,6 +12,7 @@
     settings_path,
 )
 from quetzalwall.process.front import run_front
+from quetzalwall.process.memory_plan import usable_descriptors
 
 __all__ = ["add_parser"]
 
@@ -65,4 +66,6 @@
         return 0
     setup_bounded_logs()
     log_ignored(ignored)
+    descriptors = usable_descriptors(settings.connections)
+    settings = settings._replace(connections=descriptors)
     return run_front(settings, args.settings)
--- a/quetzalwall/connection/endpoint_client.py
+++ b/quetzalwall/connection/endpoint_client.py
@@ -16,14 +16,10 @@
 
 from quetzalwall.connection.answer_parser import AnswerParser
 from quetzalwall.connection.endpoint_connection import EndpointConnection
+from quetzalwall.connection.endpoint_connections import EndpointConnections, failure
 from quetzalwall.connection.held_bytes import Hold
-from quetzalwall.connection.nodelay import connect, readable_now
-from quetzalwall.exceptions import (
-    IncompleteAnswer,
-    NotConnected,
-    NotRun,
-    OutcomeUnknown,
-)
+from quetzalwall.connection.nodelay import readable_now
+from quetzalwall.exceptions import IncompleteAnswer, NotRun, OutcomeUnknown
 
 __all__ = ["EndpointClient", "Exchange", "create_endpoint_client"]
 
@@ -101,6 +97,8 @@
         Connections opened so far.
     connect_s : float or None
         Seconds that the last connection took to open: one round trip.
+    connections : EndpointConnections
+        Counts those to all endpoints.
     """
 
     def __init__(self, name, host, port, read_facts, monotonic):
@@ -112,6 +110,7 @@
         self._monotonic = monotonic
         self._idle = deque()
         self._closed = False
+        self.connections = EndpointConnections()
         self._http = HTTPClient(host, port=port, disable_ipv6=True)
 
     def exchange(self, exchange, deadline):
@@ -168,24 +167,23 @@
 
         Raises
         ------
-        NotConnected
-            The endpoint accepts no connection.
+        NotConnected, NoRoom
+            The endpoint accepts no connection, or this instance can open none.
         """
         now = self._monotonic()
         while self._idle and request_id:
             idle = self._idle.pop()
             limit_s = idle.limit_s if idempotent else CAREFUL_IDLE_S
-            kept, in_time = (
-                idle.connection,
-                now - idle.since <= min(limit_s, idle.limit_s),
-            )
+            kept = idle.connection
+            in_time = now - idle.since <= min(limit_s, idle.limit_s)
             if in_time and kept.fits(request_id) and not readable_now(kept.sock):
+                self.connections.leave_idle(kept.sock)
                 return kept
             kept.close()
         try:
-            sock = connect(self.place, CONNECT_TIMEOUT_S)
+            sock = self.connections.connect(self.place, CONNECT_TIMEOUT_S)
         except OSError as exc:
-            raise NotConnected(str(exc), step="connect", peer=self.name) from exc
+            raise failure(exc, self.name) from exc
         self.opened += 1
         self.connect_s = self._monotonic() - now
         return EndpointConnection(sock)
@@ -207,6 +205,7 @@
         if keep_alive_s is not None:
             limit_s = min(limit_s, keep_alive_s - KEEP_ALIVE_MARGIN_S)
         self._idle.append(_Idle(connection, self._monotonic(), limit_s))
+        self.connections.enter_idle(connection.sock, self._idle)
 
     def close(self):
         """Close idle connections; those in use close when their answers end."""
--- a/quetzalwall/connection/nodelay.py
+++ b/quetzalwall/connection/nodelay.py
@@ -80,7 +80,7 @@
         super().handle(sock, address)
 
 
-def connect(place, timeout_s):
+def connect(place, timeout_s, kind=FairSocket):
     """Return a connection without Nagle's algorithm and without a time limit.
 
     Parameters
@@ -89,6 +89,8 @@
         IP number and port.
     timeout_s : float
         Seconds that opening it may take.
+    kind : type, default=FairSocket
+        Class of the socket.
 
     Returns
     -------
@@ -99,7 +101,7 @@
     OSError
         Nobody accepts it in time.
     """
-    sock = FairSocket(gevent.socket.AF_INET, gevent.socket.SOCK_STREAM)
+    sock = kind(gevent.socket.AF_INET, gevent.socket.SOCK_STREAM)
     try:
         sock.settimeout(timeout_s)
         sock.connect(place)
--- a/quetzalwall/exceptions.py
+++ b/quetzalwall/exceptions.py
@@ -8,6 +8,7 @@
     "EndpointError",
     "IncompleteAnswer",
     "ListenError",
+    "NoRoom",
     "NotConnected",
     "NotRun",
     "OutcomeUnknown",
@@ -116,6 +117,10 @@
     """The endpoint accepted no connection."""
 
 
+class NoRoom(NotRun):
+    """No connection is left to this instance, whatever the endpoint does."""
+
+
 class OutcomeUnknown(EndpointError):
     """Bytes of the request left this instance and no answer arrived."""
 
--- a/quetzalwall/process/front.py
+++ b/quetzalwall/process/front.py
@@ -42,7 +42,11 @@
 from quetzalwall.process.limits.shifting import create_shifts
 from quetzalwall.process.limits.weighted_split import create_weighted_split
 from quetzalwall.process.listeners import open_in_background, open_listener
-from quetzalwall.process.memory_plan import create_held_bytes, most_connections
+from quetzalwall.process.memory_plan import (
+    create_held_bytes,
+    most_connections,
+    most_to_endpoints,
+)
 from quetzalwall.process.registration import register, unregister
 from quetzalwall.process.self_watch import PERIOD_S, create_self_watch
 from quetzalwall.process.storage.operators import create_operators
@@ -108,6 +112,7 @@
         self.endpoints = create_endpoint_table(
             settings.domains, dialect.answer_facts, now
         )
+        self.endpoints.connections.most = most_to_endpoints(settings.connections)
         self.fleet = create_fleet(
             card,
             settings.peer_port,
@@ -166,12 +171,9 @@
         application = create_front_application(
             self._serve, self.server.malformed, lambda: self.stopping, self.held
         )
+        callers = most_connections(settings.memory_mb, settings.connections, "callers")
         self._servers = {
-            "callers": create_front_server(
-                listen.callers,
-                application,
-                most_connections(settings.memory_mb, settings.connections, "callers"),
-            ),
+            "callers": create_front_server(listen.callers, application, callers),
             **create_interfaces(self),
         }
         for name, server in self._servers.items():
--- a/quetzalwall/process/knowledge/endpoint_state.py
+++ b/quetzalwall/process/knowledge/endpoint_state.py
@@ -318,7 +318,7 @@
         self._avoid_until = max(self._avoid_until, now + SHED_AVOID_S)
 
 
-def create_endpoint_state(entry, region, read_facts, monotonic):
+def create_endpoint_state(entry, region, read_facts, monotonic, connections):
     """Return the state of a newly registered endpoint.
 
     Parameters
@@ -331,6 +331,8 @@
         From status and headers of an answer to what they say.
     monotonic : callable
         Clock in seconds.
+    connections : EndpointConnections
+        Counts those to all endpoints.
 
     Returns
     -------
@@ -339,4 +341,5 @@
     client = create_endpoint_client(
         entry.name, entry.host, entry.port, read_facts, monotonic
     )
+    client.connections = connections
     return EndpointState(entry, region, client, monotonic())
--- a/quetzalwall/process/knowledge/endpoint_table.py
+++ b/quetzalwall/process/knowledge/endpoint_table.py
@@ -5,6 +5,7 @@
 
 import xxhash
 
+from quetzalwall.connection.endpoint_connections import EndpointConnections
 from quetzalwall.logs import get_logger, log_event
 from quetzalwall.process.knowledge.endpoint_state import create_endpoint_state
 
@@ -32,11 +33,14 @@
     ----------
     evacuated : set of str
         Failure domains whose endpoints get nothing.
+    connections : EndpointConnections
+        Counts the connections to all of them.
     """
 
     def __init__(self, domains, read_facts, monotonic):
         self.domains = domains
         self.evacuated = set()
+        self.connections = EndpointConnections()
         self._read_facts = read_facts
         self._monotonic = monotonic
         self._states = {}
@@ -223,7 +227,9 @@
 
     def _start(self, entry, old):
         region = self.domains.get(entry.domain, "")
-        state = create_endpoint_state(entry, region, self._read_facts, self._monotonic)
+        state = create_endpoint_state(
+            entry, region, self._read_facts, self._monotonic, self.connections
+        )
         if old is not None:
             old.present = False
             old.client.close()
--- a/quetzalwall/process/memory_plan.py
+++ b/quetzalwall/process/memory_plan.py
@@ -4,9 +4,16 @@
 fits the machine whatever they do.
 """
 
+import resource
+
 from quetzalwall.connection.held_bytes import HeldBytes
 
-__all__ = ["create_held_bytes", "most_connections"]
+__all__ = [
+    "create_held_bytes",
+    "most_connections",
+    "most_to_endpoints",
+    "usable_descriptors",
+]
 
 MB = 1_000_000
 OWN_MB = 56.0  # the process without any caller, its log and what it has learned
@@ -22,8 +29,10 @@
     "peers": 0.01,
     "metrics": 0.005,
 }
-FILE_DESCRIPTORS = 200  # for files, and what else is no connection
-# Parts of the other descriptors; what remains is for connections to endpoints.
+FILE_DESCRIPTORS = 200  # for files
+LEAST_TO_ENDPOINTS = 4  # connections, where there are hardly any descriptors
+# Parts of the other descriptors; what remains is for the listeners themselves, the
+# store, other instances and pipes. A request at work has a connection of two kinds.
 DESCRIPTOR_PARTS = {
     "callers": 0.5,
     "lookup": 0.2,
@@ -31,6 +40,7 @@
     "peers": 0.02,
     "metrics": 0.01,
 }
+ENDPOINTS_PART = 0.2  # at work and idle
 
 
 def most_connections(memory_mb, descriptors, name):
@@ -54,6 +64,38 @@
     return max(1, int(min(by_descriptors, max(LEAST_CONNECTIONS, by_memory))))
 
 
+def most_to_endpoints(descriptors):
+    """Return the connections to endpoints that may be open at once.
+
+    Parameters
+    ----------
+    descriptors : int
+        Descriptors that the process may have open.
+
+    Returns
+    -------
+    int
+    """
+    part = (descriptors - FILE_DESCRIPTORS) * ENDPOINTS_PART
+    return max(LEAST_TO_ENDPOINTS, int(part))
+
+
+def usable_descriptors(wanted):
+    """Return how many descriptors of the settings the system lets the process open.
+
+    Parameters
+    ----------
+    wanted : int
+        Descriptors that it may have open by its settings.
+
+    Returns
+    -------
+    int
+    """
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return wanted if soft == resource.RLIM_INFINITY else min(wanted, soft)
+
+
 def create_held_bytes(memory_mb):
     """Return the count of a process that holds no bodies yet.
 
--- a/quetzalwall/process/tests/test_descriptors.py
+++ b/quetzalwall/process/tests/test_descriptors.py
@@ -1,15 +1,26 @@
 """The daemon's sockets, with all places of its listeners taken."""
 
 import os
+import resource
+import subprocess
+import sys
 import time
 from contextlib import ExitStack
+from functools import partial
 
 import gevent
 import gevent.socket
 
 from quetzalwall.process.memory_plan import FILE_DESCRIPTORS, most_connections
 from quetzalwall.tests.daemon_fixture import STARTED_S, daemon
-from quetzalwall.tests.platform_fixtures import Site, call, config_body, wait_for
+from quetzalwall.tests.platform_fixtures import (
+    Site,
+    call,
+    config_body,
+    running_site,
+    start_front,
+    wait_for,
+)
 from standins.metadata_store import create_metadata_store
 from standins.served_endpoint import create_served_endpoint
 
@@ -19,6 +30,10 @@
 SLOTS = 6
 WORK_S = 0.2
 BUSY_S = 3.0
+PLAN = """
+from quetzalwall.process.memory_plan import usable_descriptors
+print(usable_descriptors(4096), usable_descriptors(250))
+"""
 
 
 def site_of(stack):
@@ -76,3 +91,30 @@
         gevent.joinall(tasks)
     assert most > callers
     assert most <= DESCRIPTORS - FILE_DESCRIPTORS
+
+
+# Beside it: a request at work without a descriptor for its endpoint was tried in vain
+# and held against the endpoints; what can't be served is refused at once.
+def test_what_finds_no_connection_left_is_refused_at_once():
+    with running_site(work_s=1.0) as site, ExitStack() as stack:
+        front = start_front(stack, site, 1, connections=FILE_DESCRIPTORS + 20)
+        wait_for(front.knowledge.ready)
+        place = front.settings.address, site.ports[0]
+        most = front.endpoints.connections.most
+        at_work = [gevent.spawn(call, *place, f"/look/{n}") for n in range(most)]
+        wait_for(lambda: front.endpoints.connections.open == most)
+        began = time.monotonic()
+        status = call(*place, "/look/9")[0]
+        assert status == 503 and time.monotonic() - began < 0.5
+        assert not any(state.avoided(began) for state in front.endpoints)
+        assert [task.get(timeout=5.0)[0] for task in at_work] == [200] * most
+        assert call(*place, "/look/9")[0] == 200
+
+
+# The settings' default is 4,096 descriptors, where a process may have 1,024 or less.
+def test_the_plan_is_for_the_descriptors_that_the_system_gives():
+    former = resource.getrlimit(resource.RLIMIT_NOFILE)
+    limit = partial(resource.setrlimit, resource.RLIMIT_NOFILE, (300, former[1]))
+    command = [sys.executable, "-c", PLAN]
+    done = subprocess.run(command, preexec_fn=limit, capture_output=True, text=True)
+    assert done.stdout.split() == ["300", "250"]
--- a/quetzalwall/request/serve.py
+++ b/quetzalwall/request/serve.py
@@ -16,6 +16,7 @@
 from quetzalwall.exceptions import (
     EndpointError,
     IncompleteAnswer,
+    NoRoom,
     NotConnected,
     NotRun,
     OutcomeUnknown,
@@ -209,13 +210,8 @@
             if isinstance(choice, Refusal):
                 if failure is not None:
                     break
-                answer = self._refuse(
-                    req.facts,
-                    req.route.name,
-                    "admission",
-                    choice.reason,
-                    choice.retry_after_s,
-                )
+                place = req.facts, req.route.name, "admission"
+                answer = self._refuse(*place, choice.reason, choice.retry_after_s)
                 return Ended(answer, "refused")
             tried.append(choice.state.name)
             last = attempt == req.route.attempts
@@ -227,6 +223,8 @@
             except EndpointError as exc:
                 failure = graver(failure, exc)
                 self._note_failure(req, exc, choice.state)
+                if isinstance(exc, NoRoom):
+                    break  # nor is there any for another endpoint
                 continue
             poor = Ended(answer, "answered", choice.state.name)
             if last or not req.route.idempotent or answer.status < FIRST_FAILURE:
@@ -306,6 +304,8 @@
         state.own_open += 1
         try:
             answer, facts = state.client.exchange(exchange, req.deadline)
+        except NoRoom:
+            raise
         except EndpointError as exc:
             if state.note_failure(
                 self._monotonic(), certain=isinstance(exc, NotConnected)
