Spread the questions of a region over all instances that know more

Cause: the list of those that know more has the same order everywhere, and the first one that has not failed is asked. Now each instance has an order of its own within the region (rendezvous hashing of both names), those of its own region first and those that failed lately last, as before; it stays with the one that answers.

--- a/quetzalwall/process/knowledge/peer_tables.py
+++ b/quetzalwall/process/knowledge/peer_tables.py
@@ -2,6 +2,8 @@
 
 import math
 
+import xxhash
+
 from quetzalwall.connection.json_call import create_json_client
 from quetzalwall.exceptions import PeerError
 from quetzalwall.logs import get_logger, log_event
@@ -57,7 +59,8 @@
         (Rows, bool) or None
             The rows, and whether they are all rows; None if none could tell.
         """
-        places = [(card.host, self._port) for card in ahead_of(self._fleet, table)]
+        cards = sorted(ahead_of(self._fleet, table), key=self._rank)
+        places = [(card.host, self._port) for card in cards]
         if not places and not after:
             own = (self._fleet.card.host, self._port)
             places = [place for place in self._seeds() if place != own]
@@ -72,6 +75,15 @@
             self._failed[place] = self._monotonic()
         return found
 
+    def _rank(self, card):
+        """Return a key that puts the own region first, and is another one elsewhere.
+
+        Instances that know the same would all ask the first one otherwise.
+        """
+        own = self._fleet.card
+        drawn = xxhash.xxh64_intdigest(f"{own.name}\n{card.name}".encode())
+        return card.region != own.region, drawn
+
     def _forget_failures(self):
         now = self._monotonic()
         self._failed = {
--- a/quetzalwall/process/knowledge/tests/test_asking_others.py
+++ b/quetzalwall/process/knowledge/tests/test_asking_others.py
@@ -6,6 +6,7 @@
 
 from quetzalwall.clock import system_clock
 from quetzalwall.process.knowledge import peer_tables
+from quetzalwall.process.knowledge.peer_report import PeerCard, PeerReport
 from quetzalwall.process.knowledge.tests.test_behind_others import (
     CHANGES,
     TABLE,
@@ -38,3 +39,25 @@
             tables.ask(TABLE, 5)
     assert sum(asked.values()) == ASKING
     assert max(asked.values()) < MOST_PART * ASKING
+
+
+# Beside it: neither a failure nor the drawing leads out of the region before it must.
+def test_instances_of_the_own_region_are_asked_first_and_each_once_while_they_fail():
+    own = [own_address(n) for n in range(4)]
+    fleet = fleet_of(own, 7)
+    other = PeerCard("far", "south", "south-a", own_address(50))
+    report = PeerReport(other, 1, 1, False, True, {TABLE: 9}, [], [], [])
+    fleet.receive(report, system_clock().monotonic())
+    asked = []
+
+    def ask(place, table, after):
+        asked.append(place[0])
+
+    with mock.patch.object(peer_tables, "_ask", ask):
+        tables = peer_tables.create_peer_tables(
+            fleet, 1, list, None, system_clock().monotonic
+        )
+        for _ in range(6):
+            assert tables.ask(TABLE, 5) is None
+    assert sorted(asked[:4]) == sorted(own)
+    assert asked[4:] == [other.host, asked[0]]
--- a/quetzalwall/process/knowledge/tests/test_behind_others.py
+++ b/quetzalwall/process/knowledge/tests/test_behind_others.py
@@ -45,13 +45,19 @@
 def test_another_instance_is_asked_after_one_that_does_not_answer():
     port = free_ports(1)[0]
     hosts = [own_address(n) for n in range(3)]
-    with ExitStack() as stack:
-        serve(stack, hosts[2], port)
-        fleet = fleet_of(hosts, 7)
-        tables = create_peer_tables(fleet, port, list, None, system_clock().monotonic)
-        found = [tables.ask(TABLE, 5) for _ in range(4)]
-    assert found[:2] == [None, None]
-    assert found[2][0].version == found[3][0].version == 7
+    failed = []
+    for host in hosts:
+        with ExitStack() as stack:
+            serve(stack, host, port)
+            fleet = fleet_of(hosts, 7)
+            now = system_clock().monotonic
+            tables = create_peer_tables(fleet, port, list, None, now)
+            found = [tables.ask(TABLE, 5) for _ in range(4)]
+        failed.append(found.count(None))
+        assert found[: failed[-1]] == [None] * failed[-1]
+        assert {rows.version for rows, _ in found[failed[-1] :]} == {7}
+    # Whichever of them answers, the others are asked once at most.
+    assert sorted(failed) == [0, 1, 2]
 
 
 # The same: without an answer of any instance it never asked the store.
