Ask for no user name in a start

"The system did not start": as a user who has a number and no name, each start ended with "getpwuid(): uid not found" and a stack.

Cause: the command line builds the options of all its commands, and that of the author of settings asked for the name of the user for its default, also where the command is the daemon. Seen with strace beside it: /etc/passwd and the name service switch are read at each start where no variable names the user. Now the name is asked for when settings are written, and a user without one signs with the number.

--- a/quetzalwall/cli/settings_command.py
+++ b/quetzalwall/cli/settings_command.py
@@ -3,6 +3,7 @@
 import argparse
 import getpass
 import json
+import os
 import sys
 import time
 
@@ -87,6 +88,19 @@
     history.set_defaults(run=_history)
 
 
+def own_name():
+    """Return the name of the user, or a number where there is none.
+
+    Returns
+    -------
+    str
+    """
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        return f"user {os.geteuid()}"
+
+
 def add_put_options(parser):
     """Add the options of commands that change settings.
 
@@ -97,7 +111,7 @@
     """
     add_common_options(parser)
     parser.add_argument("--credential-file", metavar="FILE")
-    parser.add_argument("--author", default=getpass.getuser())
+    parser.add_argument("--author", help="the user if not given")
     parser.add_argument(
         "--wait", action="store_true", help="wait until it is in force everywhere"
     )
@@ -123,7 +137,8 @@
     int
         Exit status.
     """
-    body = {"team": team, "subtree": subtree, "base": base, "author": args.author}
+    author = args.author or own_name()
+    body = {"team": team, "subtree": subtree, "base": base, "author": author}
     headers = {"Authorization": f"Bearer {read_credential(args)}"}
     answer = call(args, "PUT", "/settings", body, headers)
     if answer.status != 200:
