--- a/quetzalwall/process/knowledge/peer_report.py
+++ b/quetzalwall/process/knowledge/peer_report.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import deque
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
 
 import msgspec
 
@@ -16,6 +16,9 @@
 ]
 
 MOST_HELD = 200  # objects named in one report
+OCTET = "(25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9])"
+# A name would be looked up in each send, which holds the event loop.
+Host = Annotated[str, msgspec.Meta(pattern=rf"\A({OCTET}\.){{3}}{OCTET}\Z")]
 
 
 class PeerCard(NamedTuple):
@@ -34,7 +37,7 @@
     name: str
     region: str
     domain: str
-    host: str
+    host: Host
     link_mbps: float = 1000.0
 
 
