Take another release of the declared range for a pin that is not served

"The system did not start from its deploy file": one pinned release that the registry does not serve, or serves as source only, ended the build after three tries, though the declared range could be met. The pins that are served hold now, the others are named and their ranges count; a release out of the range is never taken. It is tried only after the pins have failed.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -24,23 +24,21 @@
 import time
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import contextmanager
-from importlib.machinery import EXTENSION_SUFFIXES
 from importlib.metadata import distributions
 from pathlib import Path
-from typing import NamedTuple
 
-__all__ = ["OLDEST", "BuildError", "Interface", "build", "find_interfaces"]
+from interfaces import OLDEST, OWN_TAG, find_interfaces
+
+__all__ = ["BuildError", "build"]
 
 ROOT = Path(__file__).resolve().parent.parent
 CONSTRAINTS = "constraints.txt"
 STAMP = "installed-for.txt"
 NOT_SERVED = ".not-served"  # after the tag: a registry has no such libraries
-OLDEST, NEWEST = (3, 11), (3, 14)  # releases of Python for which there are libraries
 ATTEMPTS = 3  # a registry may fail for a moment
 PAUSE_S = 5.0
+PROBES = 4  # at once
 INSTALL_LIMIT_S = 150.0  # of one attempt; the platform ends a build after 15 min
-ASK_LIMIT_S = 10.0
-USUAL_PLACES = ("/usr/local/bin", "/usr/bin")
 # A user's settings of pip that move an installation elsewhere or have none made.
 PIP_OFF = ("PIP_USER", "PIP_REQUIRE_VIRTUALENV", "PIP_DRY_RUN", "PIP_NO_DEPS")
 PIP_UNSET = ("PIP_TARGET", "PIP_PREFIX", "PIP_ROOT")
@@ -48,34 +46,12 @@
 NO_EXCHANGE = (errno.EINVAL, errno.ENOSYS, errno.EPERM)  # not on this file system
 READABLE, SEARCHABLE = 0o444, 0o555  # by any user, of files and of folders
 NAME = re.compile(r"[A-Za-z0-9_.-]+")
-ASK = (
-    "import sys; from importlib.machinery import EXTENSION_SUFFIXES as s; "
-    "print(sys.version_info[0], sys.version_info[1], s[0])"
-)
 
 
 class BuildError(Exception):
     """The libraries could not be installed, or do not work."""
 
 
-class Interface(NamedTuple):
-    """A binary interface of Python for which libraries are installed.
-
-    Attributes
-    ----------
-    tag : str
-        Name of its folder.
-    release : tuple of int
-        Major and minor number of Python.
-    python : str or None
-        An interpreter that has it; None if none was found.
-    """
-
-    tag: str
-    release: tuple
-    python: str | None
-
-
 def build(root=ROOT):
     """Install the libraries unless complete installations fit.
 
@@ -119,52 +95,6 @@
         return tomllib.load(stream)["project"]["dependencies"]
 
 
-def find_interfaces(places=None):
-    """Return the binary interfaces that may run an instance, that of this Python first.
-
-    Parameters
-    ----------
-    places : iterable of str, default=None
-        Folders with interpreters; those of the path and the usual ones if None.
-
-    Returns
-    -------
-    list of Interface
-    """
-    if places is None:
-        places = [*os.environ.get("PATH", "").split(os.pathsep), *USUAL_PLACES]
-    releases = [(OLDEST[0], minor) for minor in range(OLDEST[1], NEWEST[1] + 1)]
-    names = ["python3", *(f"python{major}.{minor}" for major, minor in releases)]
-    tag = EXTENSION_SUFFIXES[0].split(".")[1]
-    found = {tag: Interface(tag, sys.version_info[:2], sys.executable)}
-    for path in dict.fromkeys(os.path.join(p, n) for p in places for n in names if p):
-        interface = _ask(path) if os.access(path, os.X_OK) else None
-        if interface is not None and interface.release >= OLDEST:
-            found.setdefault(interface.tag, interface)
-    own = "cpython-{}{}-".format(*sys.version_info[:2])
-    for release in releases if tag.startswith(own) else ():
-        other = tag.replace(own, "cpython-{}{}-".format(*release))
-        found.setdefault(other, Interface(other, release, None))
-    return list(found.values())
-
-
-def _ask(path):
-    """Return the interface of an interpreter, or None if it doesn't run."""
-    try:
-        done = subprocess.run(
-            [path, "-c", ASK],
-            stdin=subprocess.DEVNULL,
-            stdout=subprocess.PIPE,
-            stderr=subprocess.DEVNULL,
-            text=True,
-            timeout=ASK_LIMIT_S,
-        )
-        major, minor, suffix = done.stdout.split()
-        return Interface(suffix.split(".")[1], (int(major), int(minor)), path)
-    except (OSError, ValueError, IndexError, subprocess.TimeoutExpired):
-        return None
-
-
 def _fingerprint(root, requirements):
     """Return a text that differs whenever the libraries have to be others."""
     return "\n".join([*requirements, (root / CONSTRAINTS).read_text()])
@@ -270,21 +200,49 @@
 
 def _install(root, folder, interface, requirements, attempts):
     command = _pip_command(folder, interface, requirements)
-    command += ["-c", str(root / CONSTRAINTS)]
+    pins = ["-c", str(root / CONSTRAINTS)]
     for attempt in range(1, attempts + 1):
-        if _succeeds(command):
+        if _succeeds([*command, *pins]):
             return
         _say(f"installation {attempt} of {attempts} failed for {interface.tag}")
+        _empty(folder)
         if attempt < attempts:
             time.sleep(PAUSE_S)
-            shutil.rmtree(folder)
-            folder.mkdir()
+    served = _served_pins(root)
+    (folder / CONSTRAINTS).write_text("\n".join(served))
+    if served and _succeeds([*command, "-c", str(folder / CONSTRAINTS)]):
+        return
     message = "the libraries could not be installed"
     if not _succeeds([sys.executable, "-c", "import pip"]):
         message += "; this Python has no pip (package python3-pip)"
     raise BuildError(message)
 
 
+def _served_pins(root):
+    """Return the pins that the registry serves; say which it does not.
+
+    For the others any release in the declared range has to do, or there is no start.
+    """
+    pins = (root / CONSTRAINTS).read_text().split()
+    command = [sys.executable, "-m", "pip", "install", "--quiet", "--no-input"]
+    command += ["--disable-pip-version-check", "--root-user-action=ignore"]
+    command += ["--ignore-installed", "--no-deps", "--only-binary", ":all:"]
+    with tempfile.TemporaryDirectory() as folder, ThreadPoolExecutor(PROBES) as pool:
+        commands = [
+            [*command, "--target", f"{folder}/{number}", pin]
+            for number, pin in enumerate(pins)
+        ]
+        found = dict(zip(pins, pool.map(_succeeds, commands), strict=True))
+    lacking = [pin for pin, served in found.items() if not served]
+    _say(f"not served, so that others of their range are taken: {' '.join(lacking)}")
+    return [pin for pin, served in found.items() if served]
+
+
+def _empty(folder):
+    shutil.rmtree(folder)
+    folder.mkdir()
+
+
 def _pip_command(folder, interface, requirements):
     command = [sys.executable, "-m", "pip", "install", "--quiet", "--no-input"]
     command += ["--disable-pip-version-check", "--root-user-action=ignore"]
@@ -299,8 +257,8 @@
 
 def _conditional(target):
     """Return what installed libraries need with some releases of Python only."""
-    own = target / EXTENSION_SUFFIXES[0].split(".")[1]
-    texts = [text for d in distributions(path=[str(own)]) for text in d.requires or ()]
+    own = str(target / OWN_TAG)
+    texts = [text for d in distributions(path=[own]) for text in d.requires or ()]
     conditions = [text.partition(";") for text in texts]
     return sorted(
         {
--- a/deploy/tests/test_start.py
+++ b/deploy/tests/test_start.py
@@ -207,6 +207,8 @@
     root = built_checkout()
     with instance(root, interpreters()[0], change=change) as (process, health, output):
         assert answers(health, process, output)
+        process.terminate()  # lines of the log wait for one another until the end
+        assert process.wait(STARTED_S) == 0
         output.seek(0)
         said = output.read().decode()
     for path in ("/bounds/coldSlack", "/memory_mb", "/connections", "/seeds/0"):
