Refuse what can't end in the grace of a planned stop

Cause: a stopping instance counted the doubt about a request's work in favour of taking it (the least work that is sure, nothing where nothing was known). The time left was looked at when a request's head came, once: what waited for its body, for a connection or for a second attempt when SIGTERM came was sent at any later time. Answers on their way to slow callers did not count as under way.

Now, from SIGTERM on, a request is passed on only if its deadline, or its way, its wait for a slot and 1.25 times the longest work seen of its route, end by 0.9 of the grace (0.4 of it remains the time in which new requests are taken at all). It is looked at for each attempt, and again when a connection had to be opened. All else is refused at once: 503, Retry-After 0.05, "stopping". Endpoints get no more time than is left. The instance waits until answers have been sent.

Not covered: work that is longer than any seen lately, and work begun before SIGTERM, may last beyond the grace; it gets 504 at 0.92 of it, as before.

The stand-in for an endpoint can shed a request after a while; no existing test is changed.

--- a/quetzalwall/connection/held_bytes.py
+++ b/quetzalwall/connection/held_bytes.py
@@ -17,6 +17,8 @@
     ----------
     held : int
         Bytes held now.
+    requests : int
+        Requests under way, until their answers have been sent.
     answer_bytes : int
         Most bytes of one answer.
     """
@@ -24,6 +26,7 @@
     def __init__(self, capacity):
         self.capacity = capacity
         self.held = 0
+        self.requests = 0
         self.answer_bytes = int(capacity * ANSWER_PART)
 
     def open(self):
@@ -33,6 +36,7 @@
         -------
         Hold
         """
+        self.requests += 1
         return Hold(self)
 
 
@@ -48,6 +52,7 @@
     def __init__(self, whole):
         self.whole = whole
         self._own = 0
+        self._open = True
 
     def take(self, size):
         """Count more bytes if there is room for them.
@@ -80,5 +85,7 @@
         self._own -= size
 
     def close(self):
-        """Count none of the request's bytes any more."""
+        """Count the request and its bytes no more."""
         self.give_back(self._own)
+        self.whole.requests -= self._open
+        self._open = False
--- a/quetzalwall/process/front.py
+++ b/quetzalwall/process/front.py
@@ -47,6 +47,7 @@
 from quetzalwall.request.choose import create_chooser
 from quetzalwall.request.claim import create_claims
 from quetzalwall.request.estimate import create_durations
+from quetzalwall.request.grace import create_grace
 from quetzalwall.request.serve import create_request_server
 
 __all__ = ["Front", "create_front", "run_front"]
@@ -55,7 +56,6 @@
 SETTINGS_PERIOD_S = 1.0
 ROOM_PERIOD_S = 0.25  # a caller gives a new connection up after a second
 STORE_TIMEOUT_S = 1.2
-ACCEPT_PART = 0.4  # of the grace, in which a stopping instance takes requests
 LEAVE_PART = 0.7  # of the grace, before which a stopping instance does not end
 END_PART = 0.92  # of the grace, after which it ends whatever is under way
 STOP_POLL_S = 0.05
@@ -83,12 +83,10 @@
     def __init__(self, settings, settings_file, clock, rng):
         self.settings = settings
         self.stopping = False
-        self.in_flight = 0
         self._settings_file = settings_file
         self._settings_seen = _modified(settings_file)
         self.clock = clock
         self.rng = rng
-        self._began_stop = None
         self._stopped = gevent.event.Event()
         now = clock.monotonic
         card = PeerCard(
@@ -125,6 +123,7 @@
             create_weighted_split(rng),
             create_shifts(self.endpoints, self.fleet, rng, now),
         )
+        self._grace = create_grace(now)
         durations = create_durations(settings.region)
         chooser = create_chooser(
             self.endpoints, durations, self.limits.cold, self.fleet, rng
@@ -146,6 +145,7 @@
             self.limits,
             claims,
             self.metrics,
+            self._grace,
             now,
         )
         self.self_watch = create_self_watch(settings.memory_mb, self._usage, now)
@@ -155,11 +155,16 @@
         self._servers = {}
         self._tasks = []
 
+    @property
+    def in_flight(self):
+        """Requests under way, until their answers have been sent."""
+        return self.held.requests
+
     def start(self):
         """Begin service."""
         settings, listen = self.settings, self.settings.listen
         application = create_front_application(
-            self._serve, self.server.malformed, lambda: self.stopping, self.held
+            self.server.serve, self.server.malformed, lambda: self.stopping, self.held
         )
         self._servers = {
             "callers": create_front_server(
@@ -216,12 +221,11 @@
         """Stop as planned: no request in flight is cut."""
         if self.stopping:
             return
-        self._began_stop = began = self.clock.monotonic()
-        self.stopping = self.server.stopping = True
-        self.fleet.leaving = True
+        began, grace_s = self.clock.monotonic(), self.settings.bounds.grace_s
+        self.stopping = self.fleet.leaving = True
+        self._grace.begin(grace_s)
         log_event(LOG, "stopping", in_flight=self.in_flight)
         gevent.spawn(unregister, self._store, self.fleet)
-        grace_s = self.settings.bounds.grace_s
         end = began + END_PART * grace_s
         gevent.sleep(LEAVE_PART * grace_s)
         while self.in_flight and self.clock.monotonic() < end:
@@ -283,13 +287,6 @@
             self.clock.monotonic,
         )
 
-    def _serve(self, environ):
-        self.in_flight += 1
-        try:
-            return self.server.serve(environ, self._left_s())
-        finally:
-            self.in_flight -= 1
-
     def _usage(self):
         """Return what takes memory, as fields for the log."""
         return {
@@ -300,13 +297,8 @@
         }
 
     def _left_s(self):
-        """Return the seconds for which requests may still be taken, if limited."""
-        if not self.stopping:
-            return None
-        stopping_s = self.clock.monotonic() - self._began_stop
-        if stopping_s > ACCEPT_PART * self.settings.bounds.grace_s:
-            return 0.0
-        return END_PART * self.settings.bounds.grace_s - stopping_s
+        """Return the seconds in which a new request must be answered."""
+        return self._grace.taking_s()
 
     def _tick(self):
         self.endpoints.drop_lapsed()
--- a/quetzalwall/request/choose.py
+++ b/quetzalwall/request/choose.py
@@ -10,6 +10,7 @@
 from quetzalwall.logs import get_logger, log_event
 from quetzalwall.process.knowledge.endpoint_table import HOLDERS
 from quetzalwall.process.limits.share import whole_share
+from quetzalwall.request.choice import STOPPING, Choice, Refusal
 from quetzalwall.request.estimate import wait_s
 
 __all__ = ["Chooser", "Choice", "Refusal", "create_chooser"]
@@ -35,54 +36,6 @@
 LOG = get_logger("endpoints")
 
 
-class Choice(NamedTuple):
-    """An endpoint chosen for a request.
-
-    Attributes
-    ----------
-    state : EndpointState
-        The endpoint.
-    rank : int
-        Its rank for the object.
-    held : bool
-        Whether it should still hold the object.
-    depth : int or None
-        Objects that it has served since it last served this one.
-    expected_s : float
-        Seconds until the answer.
-    wait_s : float
-        Part of it spent waiting for a slot.
-    slowness : float
-        How long work takes there, 1.0 being usual.
-    of : int
-        Endpoints chosen from.
-    """
-
-    state: object
-    rank: int
-    held: bool
-    depth: int | None
-    expected_s: float
-    wait_s: float
-    slowness: float
-    of: int
-
-
-class Refusal(NamedTuple):
-    """Why no endpoint was chosen.
-
-    Attributes
-    ----------
-    reason : str
-        For the log.
-    retry_after_s : float
-        Seconds after which another attempt is worth while.
-    """
-
-    reason: str
-    retry_after_s: float
-
-
 class _Costs(NamedTuple):
     """What one request costs at any endpoint, before its state is looked at."""
 
@@ -122,7 +75,16 @@
         self._waits = {}
 
     def choose(
-        self, cfg, route, service, object_key, left_s, now, tried=(), region=None
+        self,
+        cfg,
+        route,
+        service,
+        object_key,
+        left_s,
+        now,
+        tried=(),
+        region=None,
+        stop_s=math.inf,
     ):
         """Return the endpoint for a request, or why there is none.
 
@@ -144,6 +106,8 @@
             Endpoints that it was already sent to.
         region : str, default=None
             Region to which a shift moves it; any if None.
+        stop_s : float, default=inf
+            Seconds until this instance stops.
 
         Returns
         -------
@@ -165,6 +129,8 @@
             if found[0] < least_key:
                 best, least_key = (state, rank, *found[1:]), found[0]
         choice = Choice(*best, len(candidates))
+        if not self.fits(route, choice, left_s, stop_s):
+            return STOPPING
         refusal = self._refuse(cfg, route, service, choice, left_s)
         if refusal is not None:
             return refusal
@@ -172,6 +138,30 @@
             self._cold_pacing.note(choice.state.name, now)
         return choice
 
+    def fits(self, route, choice, left_s, stop_s):
+        """Return whether a request is sure enough to end before this instance does.
+
+        Parameters
+        ----------
+        route : Route
+            The request's route.
+        choice : Choice
+            The endpoint chosen for it.
+        left_s : float
+            Seconds until the deadline, which ends the request in any case.
+        stop_s : float
+            Seconds until this instance stops.
+
+        Returns
+        -------
+        bool
+        """
+        if left_s <= stop_s:
+            return True
+        doubt_s = self._durations.most_work_s(route)
+        doubt_s -= self._durations.work_s(route, choice.held)
+        return choice.expected_s + choice.slowness * max(0.0, doubt_s) <= stop_s
+
     def _costs(self, route, service, candidates):
         durations, crowding = self._durations, _crowding(candidates)
         regions = {state.region for state in candidates}
--- a/quetzalwall/request/estimate.py
+++ b/quetzalwall/request/estimate.py
@@ -13,6 +13,10 @@
 KEPT_WEIGHT = 0.2  # of one answer in the number of objects held
 QUICK_PART = 0.6  # of the work on an unheld object; held ones take a third
 LEAST_PART = 0.4  # of the mean duration; few requests take less
+KNOWN_AFTER = 20  # answers from which on it is known how long a route's work may take
+DOUBT_RATIO = 1.25  # of the longest work seen, for work that must end in time
+UNKNOWN_RATIO = 2.0  # of the target, while too little is known
+FADE = 0.005  # by which each answer brings the longest work nearer to its own
 HELD_PART = 0.5  # of a first guess, that an endpoint with the object takes
 
 
@@ -33,6 +37,8 @@
         self._hold = {}
         self._distance = {}
         self._longest = {}
+        self._most = {}
+        self._answers = {}
 
     def longest_s(self, service):
         """Return the work of the longest kind of request of a service, as learned.
@@ -86,6 +92,39 @@
         """
         return LEAST_PART * self._work.get((route.name, held), 0.0)
 
+    def most_work_s(self, route):
+        """Return the time in which work ends, with the doubt counted against it.
+
+        Parameters
+        ----------
+        route : Route
+            The route.
+
+        Returns
+        -------
+        float
+            Seconds at usual speed; infinity while too little is known of requests
+            that may not be repeated.
+        """
+        most_s = DOUBT_RATIO * self._most.get(route.name, 0.0)
+        if self._answers.get(route.name, 0) >= KNOWN_AFTER:
+            return most_s
+        if not route.idempotent:
+            return math.inf
+        return max(most_s, UNKNOWN_RATIO * route.target_s)
+
+    def note_unfinished(self, route, seconds):
+        """Record that work had not ended after some time.
+
+        Parameters
+        ----------
+        route : Route
+            The route.
+        seconds : float
+            Without an answer.
+        """
+        self._most[route.name] = max(seconds, self._most.get(route.name, 0.0))
+
     def holds(self, service, depth):
         """Return whether an endpoint should still hold an object.
 
@@ -199,6 +238,9 @@
         seconds : float
             Without the way and the wait.
         """
+        most_s = self._most.get(route.name, seconds)
+        self._most[route.name] = max(seconds, most_s - FADE * (most_s - seconds))
+        self._answers[route.name] = self._answers.get(route.name, 0) + 1
         key = (route.name, held)
         old = self.work_s(route, held)
         count = self._counts[key] = self._counts.get(key, 0) + 1
--- a/quetzalwall/request/serve.py
+++ b/quetzalwall/request/serve.py
@@ -7,7 +7,6 @@
 from quetzalwall.connection.caller import (
     CallerLeft,
     NoMemory,
-    is_closed,
     read_body,
     watch_caller,
 )
@@ -21,10 +20,9 @@
     OutcomeUnknown,
 )
 from quetzalwall.logs import get_logger, log_event
-from quetzalwall.request.choose import Refusal
+from quetzalwall.request.choice import STOPPING, Refusal
 from quetzalwall.request.estimate import least
 from quetzalwall.request.request_log import (
-    log_abandoned,
     log_choice,
     log_failure,
     log_finish,
@@ -32,6 +30,7 @@
     log_refusal,
 )
 from quetzalwall.request.run_once import run_once
+from quetzalwall.request.still_wanted import check_caller, check_wanted
 from quetzalwall.request.whole_answer import Answer
 from quetzalwall.request.work import Ended, Request, graver, object_code
 from quetzalwall.version.model import find_route
@@ -43,7 +42,6 @@
 FAILED_RETRY_S = 0.2
 FIRST_FAILURE = 500  # status from which on an answer says that the endpoint failed
 MEMORY_RETRY_S = 1.0
-STOPPING_RETRY_S = 0.05  # another instance can take it at once
 LEAST_USEFUL_S = 0.02  # with less left, another attempt can't be answered
 LOG = get_logger("request")
 
@@ -68,19 +66,25 @@
         callers give them none.
     metrics : FrontMetrics
         Counters.
+    grace : Grace
+        Bounds what a stopping instance takes.
     monotonic : callable
         Clock in seconds.
-
-    Attributes
-    ----------
-    stopping : bool
-        Whether the instance is about to stop, so that what is under way must end.
     """
 
     def __init__(
-        self, dialect, knowledge, chooser, durations, limits, claims, metrics, monotonic
+        self,
+        dialect,
+        knowledge,
+        chooser,
+        durations,
+        limits,
+        claims,
+        metrics,
+        grace,
+        monotonic,
     ):
-        self.stopping = False
+        self._grace = grace
         self._dialect = dialect
         self._claims = claims
         self._knowledge = knowledge
@@ -90,16 +94,13 @@
         self._metrics = metrics
         self._monotonic = monotonic
 
-    def serve(self, environ, taking_s=None):
+    def serve(self, environ):
         """Return the answer to one request.
 
         Parameters
         ----------
         environ : dict
             WSGI environment, with the connection and the target as they came.
-        taking_s : float, default=None
-            Seconds within which a request must be answered, if this instance is
-            about to stop; 0 refuses it.
 
         Returns
         -------
@@ -116,17 +117,15 @@
         if isinstance(req, Answer):
             return req
         # It may have given up while its request waited for this process.
-        _check_caller(req)
-        if taking_s == 0:
-            return self._refuse(
-                req.facts, req.route.name, "admission", "stopping", STOPPING_RETRY_S
-            )
+        check_caller(req)
+        if self._grace.taking_s() == 0:
+            return self._refuse(req.facts, req.route.name, "admission", *STOPPING)
         self._limits.retries.note_request(req.service, req.arrived)
         watcher = None
         if req.route.idempotent and req.sock is not None:
             watcher = gevent.spawn(watch_caller, req.sock, gevent.getcurrent())
         try:
-            ended = self._serve(req, taking_s)
+            ended = self._serve(req)
         except CallerLeft:
             self._finish(req, Ended(Answer(0, [], b""), "caller-left"))
             raise
@@ -153,12 +152,10 @@
         """
         return self._dialect.malformed(exc)
 
-    def _serve(self, req, taking_s):
+    def _serve(self, req):
         if req.route.idempotent or self._claims is None:
-            return self._run(req, taking_s)
-        return run_once(
-            self._claims, self._dialect, req, lambda: self._run(req, taking_s)
-        )
+            return self._run(req)
+        return run_once(self._claims, self._dialect, req, lambda: self._run(req))
 
     def _read(self, environ):
         arrived = self._monotonic()
@@ -198,24 +195,19 @@
             hold=hold,
         )
 
-    def _run(self, req, taking_s):
+    def _run(self, req):
         """Try endpoints until one answers, and return what became of the request."""
         tried, spare = [], []
         failure = poor = None
         for attempt in range(1, req.route.attempts + 1):
             if attempt > 1 and not spare and not self._may_retry(req, failure):
                 break
-            choice = spare.pop() if spare else self._choose(req, taking_s, tried)
+            choice = spare.pop() if spare else self._choose(req, tried)
             if isinstance(choice, Refusal):
-                if failure is not None:
+                left_to_caller = choice is STOPPING and isinstance(failure, NotRun)
+                if failure is not None and not left_to_caller:
                     break
-                answer = self._refuse(
-                    req.facts,
-                    req.route.name,
-                    "admission",
-                    choice.reason,
-                    choice.retry_after_s,
-                )
+                answer = self._refuse(req.facts, req.route.name, "admission", *choice)
                 return Ended(answer, "refused")
             tried.append(choice.state.name)
             last = attempt == req.route.attempts
@@ -243,30 +235,32 @@
         """
         now = self._monotonic()
         instances = self._knowledge.fleet.size()
-        if self.stopping or req.deadline - now < LEAST_USEFUL_S:
+        if self._grace.stopping or req.deadline - now < LEAST_USEFUL_S:
             return False
         if not self._chooser.gone_silent(state, now):
             return False
         if not self._limits.retries.has_room(req.service, now, instances):
             return False
-        choice = self._choose(req, None, tried)
+        choice = self._choose(req, tried)
         if isinstance(choice, Refusal):
             return False
         self._limits.retries.take(req.service, now, instances)
         spare.append(choice)
         return True
 
-    def _choose(self, req, taking_s, tried):
+    def _choose(self, req, tried):
         now = self._monotonic()
-        left_s = min(req.deadline - now, least(taking_s, None))
+        left_s = req.deadline - now
         asked = (req.cfg, req.route, req.service, req.object_key, left_s, now, tried)
+        # The next attempt of a request at work may begin at any time.
+        stop_s = self._grace.end - now if tried else self._grace.taking_s()
         shift = self._limits.shifts.offered(req.service, now)
         choice = Refusal("no shift", 0.0)
         if shift is not None:
-            choice = self._chooser.choose(*asked, region=shift.shift.to)
+            choice = self._chooser.choose(*asked, shift.shift.to, stop_s)
         if isinstance(choice, Refusal):
             shift = None
-            choice = self._chooser.choose(*asked)
+            choice = self._chooser.choose(*asked, None, stop_s)
         if isinstance(choice, Refusal):
             return choice
         if shift is not None:
@@ -281,7 +275,7 @@
             return False
         if not isinstance(failure, NotRun) and not req.route.idempotent:
             return False
-        _check_caller(req)
+        check_caller(req)
         if isinstance(failure, NotConnected):
             return True
         instances = self._knowledge.fleet.size()
@@ -290,23 +284,28 @@
     def _attempt(self, req, choice, hopeless):
         state = choice.state
         began = self._monotonic()
-        left_s = req.deadline - began
+        deadline = min(req.deadline, self._grace.end)
         exchange = Exchange(
             req.method,
             req.target,
-            self._dialect.endpoint_headers(req.facts, state.name, left_s),
+            self._dialect.endpoint_headers(req.facts, state.name, deadline - began),
             req.body,
             req.facts.request_id,
             req.route.idempotent,
             hopeless,
             req.hold,
-            partial(_check_caller, req),
+            partial(
+                check_wanted, req, choice, self._chooser, self._grace, self._monotonic
+            ),
         )
         opened = state.client.opened
         state.own_open += 1
         try:
-            answer, facts = state.client.exchange(exchange, req.deadline)
+            answer, facts = state.client.exchange(exchange, deadline)
         except EndpointError as exc:
+            if not isinstance(exc, NotRun):
+                waited_s = self._monotonic() - began
+                self._durations.note_unfinished(req.route, waited_s)
             if state.note_failure(
                 self._monotonic(), certain=isinstance(exc, NotConnected)
             ):
@@ -371,21 +370,14 @@
         log_failure(req, exc, state.name)
 
 
-def _check_caller(req):
-    """Raise if the caller of a request has left."""
-    if req.sock is not None and is_closed(req.sock):
-        log_abandoned(req)
-        raise CallerLeft
-
-
 def create_request_server(
-    dialect, knowledge, chooser, durations, limits, claims, metrics, monotonic
+    dialect, knowledge, chooser, durations, limits, claims, metrics, grace, monotonic
 ):
     """Return the server of callers' requests.
 
     Parameters
     ----------
-    dialect, knowledge, chooser, durations, limits, claims, metrics, monotonic
+    dialect, knowledge, chooser, durations, limits, claims, metrics, grace, monotonic
         As of `RequestServer`.
 
     Returns
@@ -393,5 +385,13 @@
     RequestServer
     """
     return RequestServer(
-        dialect, knowledge, chooser, durations, limits, claims, metrics, monotonic
+        dialect,
+        knowledge,
+        chooser,
+        durations,
+        limits,
+        claims,
+        metrics,
+        grace,
+        monotonic,
     )
--- /dev/null
+++ b/quetzalwall/request/still_wanted.py
@@ -0,0 +1,55 @@
+"""Look whether a request is still to be sent, when it has waited."""
+
+from quetzalwall.connection.caller import CallerLeft, is_closed
+from quetzalwall.exceptions import NotRun
+from quetzalwall.request.choice import STOPPING
+from quetzalwall.request.request_log import log_abandoned
+
+__all__ = ["check_caller", "check_wanted"]
+
+
+def check_caller(req):
+    """Raise if the caller of a request has left.
+
+    Parameters
+    ----------
+    req : Request
+        The request.
+
+    Raises
+    ------
+    CallerLeft
+        It closed its connection.
+    """
+    if req.sock is not None and is_closed(req.sock):
+        log_abandoned(req)
+        raise CallerLeft
+
+
+def check_wanted(req, choice, chooser, grace, monotonic):
+    """Raise if a request that waited for a connection is not to be sent any more.
+
+    Parameters
+    ----------
+    req : Request
+        The request.
+    choice : Choice
+        The endpoint chosen for it.
+    chooser : Chooser
+        Tells what fits into the time left.
+    grace : Grace
+        Bounds what a stopping instance sends.
+    monotonic : callable
+        Clock in seconds.
+
+    Raises
+    ------
+    CallerLeft
+        The caller closed its connection.
+    NotRun
+        It would not end before this instance stops.
+    """
+    check_caller(req)
+    now = monotonic()
+    if not chooser.fits(req.route, choice, req.deadline - now, grace.end - now):
+        raise NotRun(STOPPING.reason, "admission", choice.state.name)
--- a/standins/served_endpoint.py
+++ b/standins/served_endpoint.py
@@ -2,7 +2,8 @@
 
 It echoes the request's identity, stamps its answers, refuses beyond its slots and
 queue, and counts how often each request ran. ``behaviour`` holds what it does wrong:
-``shed`` (refuse all), ``hang`` (never answer), ``cut`` (end in the middle of the body),
+``shed`` (refuse all), ``shed_after_s`` (the same, after a while), ``hang`` (never
+answer), ``cut`` (end in the middle of the body),
 ``extra`` (a second answer after each), ``late`` (the same, a little later), ``early``
 (answer before the body is read),
 ``lose`` (run, then reset), ``error`` (run, then answer 500),
@@ -109,6 +110,10 @@
         if self.behaviour.get("shed") or self._open >= self.slots + self.queue:
             _answer(sock, 503, b"", request_id, not_run=True)
             return True
+        if wait_s := self.behaviour.get("shed_after_s"):
+            gevent.sleep(wait_s)
+            _answer(sock, 503, b"", request_id, not_run=True)
+            return True
         self._open += 1
         try:
             with self._slots:
