Tell of what had gone before a table was read anew

Cause, found by reading: an instance that reads a whole table, after a start or when the store has dropped its history, does not know which rows had been removed just before. Asked for the changes since an older version it told of its later changes only, and whoever asked took them for all, and itself for up to date: it used the endpoint that had left until a restart, as nobody mentions the removal again.

Now who asks from before such a reading gets the whole table. Instances ask from the version that they have read up to, not from that of the last change, so that most get changes only; and one that has read a newer table no longer asks again and again, up to ten times a second, for an older removal.

Ruled out as an easier mend: reporting the version read as that of a change; each start would have all instances ask for the whole table.

--- a/quetzalwall/process/knowledge/fleet.py
+++ b/quetzalwall/process/knowledge/fleet.py
@@ -55,6 +55,7 @@
         self.leaving = False
         self.reaches_store = True
         self.tables = {}
+        self.read_up_to = {}
         self._port = port
         self._endpoints = endpoints
         self._monotonic = monotonic
@@ -110,6 +111,21 @@
             peer = self._peers[card.name] = Peer(card)
             peer.introduced = self._monotonic()
 
+    def known(self, table):
+        """Return the version of the store up to which a table is known here.
+
+        Parameters
+        ----------
+        table : str
+            Name of the table.
+
+        Returns
+        -------
+        int
+            0 if nothing is known; it may be later than the last change known.
+        """
+        return max(self.tables.get(table, 0), self.read_up_to.get(table, 0))
+
     def live(self):
         """Return the instances that callers may use, this one included.
 
--- a/quetzalwall/process/knowledge/knowledge.py
+++ b/quetzalwall/process/knowledge/knowledge.py
@@ -111,6 +111,10 @@
         for change in changes:
             self._keep(table, change, change.key in lapsed)
         self._versions[table] = rows.version
+        self.fleet.read_up_to[table] = rows.version
+        if whole:
+            # What came and went before is not known here; who asks may know it.
+            self._forgotten[table] = max(self._forgotten[table], rows.version)
         if changes:
             newest = max(change.version for change in changes)
             known = self.fleet.tables.get(table, 0)
--- a/quetzalwall/process/knowledge/readers.py
+++ b/quetzalwall/process/knowledge/readers.py
@@ -50,7 +50,7 @@
     list of PeerCard
         Those of the own region first.
     """
-    own = fleet.tables.get(table, 0)
+    own = fleet.known(table)
     cards = [
         peer.card
         for peer in fleet.peers()
--- a/quetzalwall/process/knowledge/store_watch.py
+++ b/quetzalwall/process/knowledge/store_watch.py
@@ -129,7 +129,7 @@
             self._take_from_peer()
 
     def _take_from_peer(self):
-        known = self._fleet.tables.get(self._table, 0)
+        known = self._fleet.known(self._table)
         found = self._ask_peer(known if self.loaded else 0)
         if found is None:
             return
