Don't send a request to an endpoint that left while it waited for a connection

Requests reached endpoints that leave up to 0.6 s, the limit on opening a connection, after their instance had learnt of it (DRAIN, EVAC): of the 3.0 s (2.5 s on small sites) that all of it may take. Cause: the endpoint was looked at when it was chosen, and not again before the first byte. No other wait lies between: connections that are kept are used at once.

Now it is looked at again when a connection had to be opened. The request goes to another endpoint; as nothing was sent it takes none of the allowance for retries, and says nothing about the endpoint.

--- a/quetzalwall/exceptions.py
+++ b/quetzalwall/exceptions.py
@@ -10,6 +10,7 @@
     "ListenError",
     "NotConnected",
     "NotRun",
+    "NotSent",
     "OutcomeUnknown",
     "PeerError",
     "QuetzalwallError",
@@ -112,7 +113,11 @@
         self.retry_after_s = retry_after_s
 
 
-class NotConnected(NotRun):
+class NotSent(NotRun):
+    """Nothing was sent to the endpoint."""
+
+
+class NotConnected(NotSent):
     """The endpoint accepted no connection."""
 
 
--- a/quetzalwall/process/knowledge/endpoint_table.py
+++ b/quetzalwall/process/knowledge/endpoint_table.py
@@ -90,11 +90,21 @@
         -------
         list of EndpointState
         """
-        return [
-            state
-            for state in self._services.get(service, ())
-            if state.usable() and state.entry.domain not in self.evacuated
-        ]
+        return [state for state in self._services.get(service, ()) if self.takes(state)]
+
+    def takes(self, state):
+        """Return whether an endpoint may get new requests.
+
+        Parameters
+        ----------
+        state : EndpointState
+            The endpoint.
+
+        Returns
+        -------
+        bool
+        """
+        return state.usable() and state.entry.domain not in self.evacuated
 
     def own_open(self, service, region):
         """Return the requests of this instance that are open in a region.
--- a/quetzalwall/request/serve.py
+++ b/quetzalwall/request/serve.py
@@ -15,11 +15,10 @@
 from quetzalwall.exceptions import (
     EndpointError,
     IncompleteAnswer,
-    NotConnected,
     NotRun,
+    NotSent,
     OutcomeUnknown,
 )
-from quetzalwall.logs import get_logger, log_event
 from quetzalwall.request.choice import STOPPING, Refusal
 from quetzalwall.request.estimate import least
 from quetzalwall.request.request_log import (
@@ -31,6 +30,7 @@
 )
 from quetzalwall.request.run_once import run_once
 from quetzalwall.request.still_wanted import check_caller, check_wanted
+from quetzalwall.request.unanswered import note_unanswered
 from quetzalwall.request.whole_answer import Answer
 from quetzalwall.request.work import Ended, Request, graver, object_code
 from quetzalwall.version.model import find_route
@@ -43,7 +43,6 @@
 FIRST_FAILURE = 500  # status from which on an answer says that the endpoint failed
 MEMORY_RETRY_S = 1.0
 LEAST_USEFUL_S = 0.02  # with less left, another attempt can't be answered
-LOG = get_logger("request")
 
 
 class RequestServer:
@@ -276,7 +275,7 @@
         if not isinstance(failure, NotRun) and not req.route.idempotent:
             return False
         check_caller(req)
-        if isinstance(failure, NotConnected):
+        if isinstance(failure, NotSent):
             return True
         instances = self._knowledge.fleet.size()
         return self._limits.retries.take(req.service, now, instances)
@@ -294,9 +293,7 @@
             req.route.idempotent,
             hopeless,
             req.hold,
-            partial(
-                check_wanted, req, choice, self._chooser, self._grace, self._monotonic
-            ),
+            partial(self._check_wanted, req, choice),
         )
         opened = state.client.opened
         state.own_open += 1
@@ -306,10 +303,7 @@
             if not isinstance(exc, NotRun):
                 waited_s = self._monotonic() - began
                 self._durations.note_unfinished(req.route, waited_s)
-            if state.note_failure(
-                self._monotonic(), certain=isinstance(exc, NotConnected)
-            ):
-                log_event(LOG, "avoided", "warning", endpoint=state.name)
+            note_unanswered(state, exc, self._monotonic())
             raise
         finally:
             state.own_open -= 1
@@ -317,6 +311,10 @@
             self._durations.note_distance(state.region, state.client.connect_s)
         return self._judge(req, choice, answer, facts, began)
 
+    def _check_wanted(self, req, choice):
+        endpoints, now = self._knowledge.endpoints, self._monotonic()
+        check_wanted(req, choice, endpoints, self._chooser, self._grace, now)
+
     def _judge(self, req, choice, answer, facts, began):
         """Take over what an answer tells; raise if the request has not run."""
         now = self._monotonic()
--- a/quetzalwall/request/still_wanted.py
+++ b/quetzalwall/request/still_wanted.py
@@ -1,7 +1,7 @@
 """Look whether a request is still to be sent, when it has waited."""
 
 from quetzalwall.connection.caller import CallerLeft, is_closed
-from quetzalwall.exceptions import NotRun
+from quetzalwall.exceptions import NotSent
 from quetzalwall.request.choice import STOPPING
 from quetzalwall.request.request_log import log_abandoned
 
@@ -26,7 +26,7 @@
         raise CallerLeft
 
 
-def check_wanted(req, choice, chooser, grace, monotonic):
+def check_wanted(req, choice, endpoints, chooser, grace, now):
     """Raise if a request that waited for a connection is not to be sent any more.
 
     Parameters
@@ -35,21 +35,25 @@
         The request.
     choice : Choice
         The endpoint chosen for it.
+    endpoints : EndpointTable
+        Tells which endpoints may get requests.
     chooser : Chooser
         Tells what fits into the time left.
     grace : Grace
         Bounds what a stopping instance sends.
-    monotonic : callable
-        Clock in seconds.
+    now : float
+        Monotonic seconds.
 
     Raises
     ------
     CallerLeft
         The caller closed its connection.
-    NotRun
-        It would not end before this instance stops.
+    NotSent
+        Its endpoint leaves, or it would not end before this instance stops.
     """
     check_caller(req)
-    now = monotonic()
+    name = choice.state.name
+    if not endpoints.takes(choice.state):
+        raise NotSent("the endpoint leaves", "admission", name)
     if not chooser.fits(req.route, choice, req.deadline - now, grace.end - now):
-        raise NotRun(STOPPING.reason, "admission", choice.state.name)
+        raise NotSent(STOPPING.reason, "admission", name)
