Go on reading the store until the successor does

In a fleet of more than 8 an instance that has just started, and whose name comes early, is one of the two of its region that follow the store as soon as the others hear it. Its predecessor stopped at its next look, up to 0.25 s after its last answer. A row removed in between, before the new one had read the table, was told by nobody in the region: the new one does not know that it was ever there.

Now the predecessor goes on for 1.5 s, longer than the limit on a call to the store.

Evidence: knowledge/tests/test_behind_others.py, the test of the successor. Before: fails. After: passes, and the reading ends after the handover.

--- a/quetzalwall/process/knowledge/store_watch.py
+++ b/quetzalwall/process/knowledge/store_watch.py
@@ -1,5 +1,7 @@
 """Keep what the store says up to date: one task for each table."""
 
+import math
+
 import gevent
 
 from quetzalwall.exceptions import StoreError
@@ -16,6 +18,7 @@
 RETRY_FIRST_S = 0.2
 RETRY_MOST_S = 1.0
 BEHIND_S = 0.8  # after which the store is asked for what no instance has told
+HANDOVER_S = 1.5  # for which an instance goes on, until its successor has read
 AWAY_AFTER_S = 3.0  # without contact, entries may have lapsed
 LOG = get_logger("store")
 
@@ -63,6 +66,7 @@
         self._version = None
         self._pause_s = RETRY_FIRST_S
         self._behind_since = None
+        self._followed = -math.inf
         self._task = None
 
     def start(self):
@@ -85,7 +89,7 @@
 
     def _round(self):
         try:
-            if self.loaded and not follows_store(self._fleet):
+            if self.loaded and not self._follows_store():
                 self._follow_peers()
                 gevent.sleep(PEER_PAUSE_S)
                 return
@@ -100,6 +104,12 @@
             gevent.sleep(self._pause_s)
             self._pause_s = min(RETRY_MOST_S, 2 * self._pause_s)
 
+    def _follows_store(self):
+        now = self._monotonic()
+        if follows_store(self._fleet):
+            self._followed = now
+        return now - self._followed < HANDOVER_S
+
     def _step(self):
         whole = self._version is None
         if whole:
--- a/quetzalwall/process/knowledge/tests/test_behind_others.py
+++ b/quetzalwall/process/knowledge/tests/test_behind_others.py
@@ -3,6 +3,8 @@
 from contextlib import ExitStack
 from types import SimpleNamespace
 
+import gevent
+
 from quetzalwall.clock import system_clock
 from quetzalwall.connection.http_server import create_server, json_answer
 from quetzalwall.platform.store import RowChange, Rows
@@ -85,3 +87,42 @@
     finally:
         watch.close()
     assert calls == [5]
+
+
+# DRAIN: an instance that gave reading the store up to one that had just started did so
+# before that one had read; a removal in between was told by nobody.
+def test_an_instance_reads_the_store_until_its_successor_does():
+    hosts = [own_address(n) for n in range(12)]
+    fleet = fleet_of(hosts, 0)
+    for peer in fleet.peers():
+        peer.silent = True
+    assert follows_store(fleet)
+    history, taken = [], []
+
+    def follow(table, after, wait_s):
+        gevent.sleep(0.05)
+        return history[0] if history else Rows([], 5)
+
+    watch = create_table_watch(
+        SimpleNamespace(read=lambda table: Rows([], 5), follow=follow),
+        TABLE,
+        lambda rows, whole, away: taken.append(rows),
+        lambda after: None,
+        fleet,
+        system_clock().monotonic,
+    )
+    watch.start()
+    try:
+        wait_for(lambda: len(taken) > 1)
+        for peer in fleet.peers():
+            peer.silent = False
+        assert not follows_store(fleet)
+        gevent.sleep(0.4)
+        history.append(CHANGES)
+        wait_for(lambda: CHANGES in taken, 0.8)
+        gevent.sleep(1.6)
+        before = len(taken)
+        gevent.sleep(0.5)
+        assert len(taken) == before
+    finally:
+        watch.close()
