Don't wait for the store in vain when others know more

An instance that does not follow the store and that no other instance tells asks the store after 0.8 s. It asked as one that follows does: the answer may take 2.5 s and the call another 1.2 s, in which it asked nobody else. Where the connection gave no answer, the news of a leaving endpoint came 0.3 (reader) + 0.4 (report) + 0.9 + 3.7 = 5.3 s after the ack by the constants, for a bound of 3.0 s (DRAIN).

Now it asks without a wait, as the store has what the others know: 1.2 s at most, and then the others again; 2.8 s by the constants.

Evidence: knowledge/tests/test_behind_others.py, the last test. Before: fails (2.5).

--- a/quetzalwall/process/knowledge/store_watch.py
+++ b/quetzalwall/process/knowledge/store_watch.py
@@ -110,12 +110,12 @@
             self._followed = now
         return now - self._followed < HANDOVER_S
 
-    def _step(self):
+    def _step(self, wait_s=FEED_WAIT_S):
         whole = self._version is None
         if whole:
             rows = self._store.read(self._table)
         else:
-            rows = self._store.follow(self._table, self._version, FEED_WAIT_S)
+            rows = self._store.follow(self._table, self._version, wait_s)
         away = self.away()
         self._note_contact()
         # A failure to take rows over has them read again.
@@ -134,7 +134,7 @@
         if now - self._behind_since > BEHIND_S:
             self._behind_since = None
             log_event(LOG, "behind", "warning", table=self._table)
-            self._step()
+            self._step(0)  # what the others know the store has at once
         else:
             self._take_from_peer()
 
--- a/quetzalwall/process/knowledge/tests/test_behind_others.py
+++ b/quetzalwall/process/knowledge/tests/test_behind_others.py
@@ -126,3 +126,29 @@
         assert len(taken) == before
     finally:
         watch.close()
+
+
+# DRAIN: an instance that was behind the others asked the store on a connection that
+# gave no answer for 3.7 s, and nobody else meanwhile.
+def test_an_instance_that_is_behind_does_not_wait_for_the_store_in_vain():
+    fleet = fleet_of([own_address(n) for n in range(12)], 7)
+    waits = []
+
+    def follow(table, after, wait_s):
+        waits.append(wait_s)
+        return CHANGES
+
+    watch = create_table_watch(
+        SimpleNamespace(read=lambda table: Rows([], 5), follow=follow),
+        TABLE,
+        lambda rows, whole, away: fleet.tables.update({TABLE: rows.version}),
+        lambda after: None,
+        fleet,
+        system_clock().monotonic,
+    )
+    watch.start()
+    try:
+        wait_for(lambda: waits, 2.5)
+    finally:
+        watch.close()
+    assert waits[0] == 0
