Don't begin the time of a lapsed entry anew where it is told

An entry that is missing when the store comes back is used for 2 s more, as it may return. An instance that was told of it gave it 2 s from then on, and who was told by that one again; also seconds later, when it was long gone for the first. With a reader that had been cut off from the store and took the first removal after its return for a lapse: 0.3 (reader) + 0.6 (report, question) + 2.0 + 0.5 (tick) = 3.4 s by the constants, for a bound of 3.0 s (DRAIN).

Now the seconds left are told with the removal, and looked at every 0.25 s instead of 0.5: 2.6 s, wherever it is told. What is over where it is told is gone at once.

--- a/quetzalwall/platform/store.py
+++ b/quetzalwall/platform/store.py
@@ -53,11 +53,14 @@
         Newest version of the store; the feed goes on from it.
     lapsed : frozenset of str, default=frozenset()
         Keys of removed rows that may come back, since the store was away.
+    lapse_s : float or None, default=None
+        Seconds in which they may; None if it was just found.
     """
 
     rows: list
     version: int
     lapsed: frozenset = frozenset()
+    lapse_s: float | None = None
 
 
 class Transacted(NamedTuple):
--- a/quetzalwall/process/front.py
+++ b/quetzalwall/process/front.py
@@ -55,6 +55,7 @@
 TICK_S = 0.5
 SETTINGS_PERIOD_S = 1.0
 ROOM_PERIOD_S = 0.25  # a caller gives a new connection up after a second
+LAPSE_PERIOD_S = 0.25  # late by this, a lapsed entry still goes within its bound
 STORE_TIMEOUT_S = 1.2
 LEAVE_PART = 0.7  # of the grace, before which a stopping instance does not end
 END_PART = 0.92  # of the grace, after which it ends whatever is under way
@@ -190,6 +191,7 @@
             repeat(self._check_settings, SETTINGS_PERIOD_S),
             repeat(self.self_watch.look, PERIOD_S),
             repeat(self._make_room, ROOM_PERIOD_S),
+            repeat(self.endpoints.drop_lapsed, LAPSE_PERIOD_S),
         ]
         log_event(
             LOG,
@@ -301,7 +303,6 @@
         return self._grace.taking_s()
 
     def _tick(self):
-        self.endpoints.drop_lapsed()
         for state in self.endpoints:
             state.client.close_stale()
         self.limits.shifts.step()
--- a/quetzalwall/process/knowledge/endpoint_table.py
+++ b/quetzalwall/process/knowledge/endpoint_table.py
@@ -173,7 +173,7 @@
             self._index()
             _log_change("leaving" if entry.leaving else "changed", entry)
 
-    def remove(self, name, away):
+    def remove(self, name, away, lapse_s=None):
         """Note that the registry no longer holds an endpoint.
 
         Parameters
@@ -182,16 +182,38 @@
             Identity.
         away : bool
             Whether the store was away, so that the entry may have lapsed.
+        lapse_s : float, default=None
+            Seconds in which it may come back; the whole time if None.
         """
         state = self._states.get(name)
         if state is None:
             return
         if away and state.present and not state.entry.leaving:
-            state.lapsed_until = self._monotonic() + RETURN_GRACE_S
+            if lapse_s is None:
+                lapse_s = RETURN_GRACE_S
+            state.lapsed_until = self._monotonic() + lapse_s
             _log_change("lapsed", state.entry)
             return
         self._drop(state)
 
+    def lapse_s(self, name):
+        """Return the seconds in which an entry that has lapsed may come back.
+
+        Parameters
+        ----------
+        name : str
+            Identity.
+
+        Returns
+        -------
+        float
+            0 if it is not awaited.
+        """
+        state = self._states.get(name)
+        if state is None or state.lapsed_until is None:
+            return 0.0
+        return max(0.0, state.lapsed_until - self._monotonic())
+
     def drop_lapsed(self):
         """Forget endpoints whose entries did not return with the store."""
         now = self._monotonic()
--- a/quetzalwall/process/knowledge/knowledge.py
+++ b/quetzalwall/process/knowledge/knowledge.py
@@ -122,7 +122,7 @@
         if table == OPERATOR_TABLE:
             self._apply_operator(changes)
         elif table == ENDPOINTS_TABLE:
-            self._apply_endpoints(changes, lapsed)
+            self._apply_endpoints(changes, lapsed, rows.lapse_s)
         else:
             self._apply_tree()
 
@@ -151,7 +151,7 @@
             if change.version > after
         }
         removed = {
-            key: [version, lapsed]
+            key: [version, lapsed and self.endpoints.lapse_s(key)]
             for key, (version, lapsed) in self._removed[table].items()
             if version > after > 0
         }
@@ -238,10 +238,10 @@
         spec = self._cfg.services.get(service) if self._cfg else None
         return spec.cold_s if spec else 0.0
 
-    def _apply_endpoints(self, changes, lapsed):
+    def _apply_endpoints(self, changes, lapsed, lapse_s):
         for change in changes:
             if change.value is None:
-                self.endpoints.remove(change.key, change.key in lapsed)
+                self.endpoints.remove(change.key, change.key in lapsed, lapse_s)
                 continue
             try:
                 entry = decode_endpoint(change.key, change.value)
@@ -287,9 +287,11 @@
             RowChange(key, None, int(version))
             for key, (version, _) in body["removed"].items()
         ]
-        lapsed = frozenset(key for key, (_, gone) in body["removed"].items() if gone)
+        left_s = {key: float(s) for key, (_, s) in body["removed"].items() if s}
+        lapse_s = min(left_s.values(), default=None)
         rows.sort(key=lambda change: change.version)
-        return Rows(rows, int(body["version"]), lapsed), bool(body["whole"])
+        version = int(body["version"])
+        return Rows(rows, version, frozenset(left_s), lapse_s), bool(body["whole"])
     except (KeyError, TypeError, ValueError, AttributeError) as exc:
         raise PeerError(f"bad rows: {exc!r}", step="read rows", peer=peer) from exc
 
