--- a/standins/served_endpoint.py
+++ b/standins/served_endpoint.py
@@ -2,7 +2,8 @@
 
 It echoes the request's identity, stamps its answers, refuses beyond its slots and
 queue, and counts how often each request ran. ``behaviour`` holds what it does wrong:
-``shed`` (refuse all), ``hang`` (never answer), ``cut`` (end in the middle of the body),
+``shed`` (refuse all), ``shed_after_s`` (the same, after a while), ``hang`` (never
+answer), ``cut`` (end in the middle of the body),
 ``extra`` (a second answer after each), ``late`` (the same, a little later), ``early``
 (answer before the body is read), ``again`` (write an earlier refusal once more, then
 run; its value is the identity that it names, "" for none),
@@ -113,6 +114,10 @@
             return True
         if kept and "again" in self.behaviour:
             _answer(sock, 503, b"", self.behaviour["again"], not_run=True)
+        if wait_s := self.behaviour.get("shed_after_s"):
+            gevent.sleep(wait_s)
+            _answer(sock, 503, b"", request_id, not_run=True)
+            return True
         self._open += 1
         try:
             with self._slots:
