Know more of requests that run once before a stopping instance takes them

Where 3 in 100 requests take seven times as long as most, 20 answers show none of them about every other time, so that one might still be broken off at the end of the grace.

Now 100 answers are needed where a request runs once. What is broken off by the end of the grace gets 504, as what its deadline ends.

Evidence: process/tests/test_planned_stop.py, the test of few answers. Before: fails (taken, and 502). After: 16 of 16 cases. The other tests of late requests that run once now teach 100 answers instead of 20; what they ask for is unchanged.

--- a/quetzalwall/process/tests/test_planned_stop.py
+++ b/quetzalwall/process/tests/test_planned_stop.py
@@ -14,8 +14,8 @@
 )
 
 DEADLINE = "X_Quetzalwall_Deadline_Ms"
-KNOWN_AFTER = 20  # answers from which the duration of a route is known
-SLOTS = 40  # none of them waits
+KNOWN_AFTER = {"GET": 20, "POST": 100}  # answers; what is unsafe needs more
+SLOTS = 140  # none of them waits
 AT_ONCE_S = 0.3
 LOOK, BOOK = ("GET", "/look/1"), ("POST", "/book/1")
 
@@ -37,13 +37,14 @@
     wait_for(lambda: sum(state.entry.slots for state in front.endpoints) == slots)
 
 
-def learn(site, method, target, work_s):
+def learn(site, method, target, work_s, count=None):
     """Have the instance learn how long a route's requests take."""
     for endpoint in site.endpoints:
         endpoint.behaviour["slow_s"] = work_s
-    tasks = [gevent.spawn(site.get, target, 0, method) for _ in range(KNOWN_AFTER)]
+    count = count or KNOWN_AFTER[method]
+    tasks = [gevent.spawn(site.get, target, 0, method) for _ in range(count)]
     gevent.joinall(tasks, raise_error=True)
-    assert [task.value[0] for task in tasks] == [200] * KNOWN_AFTER
+    assert [task.value[0] for task in tasks] == [200] * count
 
 
 def stop_soon(site, after_s):
@@ -142,6 +143,22 @@
         stopping.join()
 
 
+# LOST: few answers tell nothing of the few requests whose work is many times as long.
+def test_a_late_request_that_runs_once_needs_more_answers_to_be_known_as_quick():
+    with running_site(endpoints=1, slots=SLOTS) as site:
+        put_routes(site)
+        learn(site, *BOOK, 0.1, 20)
+        learn(site, *LOOK, 0.1, 20)
+        site.endpoints[0].behaviour["slow_s"] = 1.7
+        before = arrivals(site)
+        stopping = stop_soon(site, 0.5)
+        assert_refused(*site.get("/book/1", 0, "POST"))
+        assert arrivals(site) == before
+        site.endpoints[0].behaviour["slow_s"] = 0.1
+        assert site.get("/look/1")[0] == 200
+        stopping.join()
+
+
 # Callers that learn late that it leaves: what is sure to end in time is served.
 @params(LOOK, BOOK)
 def test_a_late_request_whose_deadline_is_in_the_grace_is_served(method, target):
@@ -216,19 +233,19 @@
 
 # LOST: the doubt about a wait for a slot was counted in favour of taking.
 def test_a_late_request_behind_others_at_a_full_endpoint_is_refused():
-    with running_site(endpoints=1, slots=KNOWN_AFTER, queue=60) as site:
+    with running_site(endpoints=1, slots=20, queue=60) as site:
         put_routes(site, slo="5s")
-        learn(site, *BOOK, 0.7)
-        ahead = [
-            gevent.spawn(site.get, "/book/2", 0, "POST") for _ in range(2 * KNOWN_AFTER)
-        ]
+        for _ in range(5):
+            learn(site, *BOOK, 0.7, 16)
+        learn(site, *BOOK, 0.7, 20)
+        ahead = [gevent.spawn(site.get, "/book/2", 0, "POST") for _ in range(40)]
         gevent.sleep(0.05)
         stopping = stop_soon(site, 0.4)
         before = arrivals(site)
         assert_refused(*site.get("/book/1", 0, "POST"))
         assert arrivals(site) == before
         gevent.joinall(ahead, raise_error=True)
-        assert [task.value[0] for task in ahead] == [200] * 2 * KNOWN_AFTER
+        assert [task.value[0] for task in ahead] == [200] * 40
         stopping.join()
 
 
--- a/quetzalwall/request/estimate.py
+++ b/quetzalwall/request/estimate.py
@@ -14,6 +14,7 @@
 QUICK_PART = 0.6  # of the work on an unheld object; held ones take a third
 LEAST_PART = 0.4  # of the mean duration; few requests take less
 KNOWN_AFTER = 20  # answers from which on it is known how long a route's work may take
+ONCE_KNOWN_AFTER = 100  # the same for requests that may not be repeated
 DOUBT_RATIO = 1.25  # of the longest work seen, for work that must end in time
 UNKNOWN_RATIO = 2.0  # of the target, while too little is known
 FADE = 0.005  # by which each answer brings the longest work nearer to its own
@@ -107,7 +108,8 @@
             that may not be repeated.
         """
         most_s = DOUBT_RATIO * self._most.get(route.name, 0.0)
-        if self._answers.get(route.name, 0) >= KNOWN_AFTER:
+        needed = KNOWN_AFTER if route.idempotent else ONCE_KNOWN_AFTER
+        if self._answers.get(route.name, 0) >= needed:
             return most_s
         if not route.idempotent:
             return math.inf
--- a/quetzalwall/request/serve.py
+++ b/quetzalwall/request/serve.py
@@ -348,7 +348,8 @@
                 FAILED_RETRY_S, failure.step, failure.message, failure.peer
             )
             return Ended(answer, "not-run")
-        status = 504 if self._monotonic() >= req.deadline else 502
+        in_time = self._monotonic() < min(req.deadline, self._grace.end)
+        status = 502 if in_time else 504
         return Ended(self._dialect.fail(status, failure), "unknown")
 
     def _finish(self, req, ended):
