--- a/quetzalwall/process/tests/test_leaving_endpoints.py
+++ b/quetzalwall/process/tests/test_leaving_endpoints.py
@@ -34,10 +34,10 @@
         client = front.endpoints.get("ep-0").client
         take, waiting = client.take, gevent.event.Event()
 
-        def take_slowly(idempotent):
+        def take_slowly(idempotent, request_id):
             waiting.set()
             gevent.sleep(0.9)
-            return take(idempotent)
+            return take(idempotent, request_id)
 
         client.take = take_slowly
         # Nothing has been sent, so that the next attempt is no retry.
--- a/quetzalwall/process/tests/test_planned_stop.py
+++ b/quetzalwall/process/tests/test_planned_stop.py
@@ -218,9 +218,9 @@
         client.close()
         take = client.take
 
-        def take_slowly(idempotent):
+        def take_slowly(idempotent, request_id):
             gevent.sleep(0.6)
-            return take(idempotent)
+            return take(idempotent, request_id)
 
         client.take = take_slowly
         running = gevent.spawn(site.get, "/book/1", 0, "POST")
