Wait for the requests ahead to have arrived before the stop

The test of a full endpoint failed in 2 of 3 runs of its file beside other work: 40 requests were not all sent 0.05 s later, and what is sent after SIGTERM is refused. It waits until the endpoint has them all.

--- a/quetzalwall/process/tests/test_planned_stop.py
+++ b/quetzalwall/process/tests/test_planned_stop.py
@@ -238,8 +238,9 @@
         for _ in range(5):
             learn(site, *BOOK, 0.7, 16)
         learn(site, *BOOK, 0.7, 20)
+        before = arrivals(site)
         ahead = [gevent.spawn(site.get, "/book/2", 0, "POST") for _ in range(40)]
-        gevent.sleep(0.05)
+        wait_for(lambda: arrivals(site) == before + 40)
         stopping = stop_soon(site, 0.4)
         before = arrivals(site)
         assert_refused(*site.get("/book/1", 0, "POST"))
