--- a/quetzalwall/connection/nodelay.py
+++ b/quetzalwall/connection/nodelay.py
@@ -46,6 +46,11 @@
 class NoDelayServer(WSGIServer):
     """WSGI server whose accepted sockets are fair and have TCP_NODELAY set."""
 
+    def update_environ(self):
+        """Name the server by its IP number; the library asks for the host's name."""
+        self.environ.setdefault("SERVER_NAME", str(self.address[0]))
+        super().update_environ()
+
     def do_read(self):
         """Accept a connection.
 
@@ -75,7 +80,7 @@
         super().handle(sock, address)
 
 
-def connect(place, timeout_s):
+def connect(place, timeout_s, kind=FairSocket):
     """Return a connection without Nagle's algorithm and without a time limit.
 
     Parameters
@@ -84,6 +89,8 @@
         IP number and port.
     timeout_s : float
         Seconds that opening it may take.
+    kind : type, default=FairSocket
+        Class of the socket.
 
     Returns
     -------
@@ -94,7 +101,7 @@
     OSError
         Nobody accepts it in time.
     """
-    sock = FairSocket(gevent.socket.AF_INET, gevent.socket.SOCK_STREAM)
+    sock = kind(gevent.socket.AF_INET, gevent.socket.SOCK_STREAM)
     try:
         sock.settimeout(timeout_s)
         sock.connect(place)
--- a/quetzalwall/exceptions.py
+++ b/quetzalwall/exceptions.py
@@ -8,6 +8,7 @@
     "EndpointError",
     "IncompleteAnswer",
     "ListenError",
+    "NoRoom",
     "NotConnected",
     "NotRun",
     "NotSent",
@@ -121,6 +122,10 @@
     """The endpoint accepted no connection."""
 
 
+class NoRoom(NotSent):
+    """No connection is left to this instance, whatever the endpoint does."""
+
+
 class OutcomeUnknown(EndpointError):
     """Bytes of the request left this instance and no answer arrived."""
 
--- a/quetzalwall/request/serve.py
+++ b/quetzalwall/request/serve.py
@@ -4,17 +4,13 @@
 
 import gevent
 
-from quetzalwall.connection.caller import (
-    CallerLeft,
-    NoMemory,
-    read_body,
-    watch_caller,
-)
+from quetzalwall.connection.caller import CallerLeft, NoMemory, read_body, watch_caller
 from quetzalwall.connection.endpoint_client import Exchange
 from quetzalwall.connection.http_server import BadRequest
 from quetzalwall.exceptions import (
     EndpointError,
     IncompleteAnswer,
+    NoRoom,
     NotRun,
     NotSent,
     OutcomeUnknown,
@@ -218,6 +214,8 @@
             except EndpointError as exc:
                 failure = graver(failure, exc)
                 self._note_failure(req, exc, choice.state)
+                if isinstance(exc, NoRoom):
+                    break
                 continue
             poor = Ended(answer, "answered", choice.state.name)
             if last or not req.route.idempotent or answer.status < FIRST_FAILURE:
