Take a large registry over in time that grows with its rows

Cause: each endpoint that came was compared with all others by address and had the index by service made anew; each that left had it made anew too. Indices by address and by service are kept up with each change now. A reading of many rows lets other tasks run every 200 rows, and counts as read only when all are taken over. The client of HTTP of an endpoint is made with its first request, and the first reading of the registry gives one line, not one an endpoint.

Ruled out: decoding of the rows (0.1 s of a first reading under a profile). test_what_is_found_by_service_follows_each_change compares the indices with a look at all endpoints; it fails where a change of the domain is missed (trial).

--- a/quetzalwall/connection/endpoint_client.py
+++ b/quetzalwall/connection/endpoint_client.py
@@ -111,7 +111,7 @@
         self._monotonic = monotonic
         self._idle = deque()
         self._closed = False
-        self._http = HTTPClient(host, port=port, disable_ipv6=True)
+        self._http = None  # made when it is needed: most endpoints get no request
 
     def exchange(self, exchange, deadline):
         """Send a request once and return the whole answer.
@@ -242,6 +242,9 @@
         headers = dict(exchange.headers)
         if exchange.body:
             headers["Content-Length"] = str(len(exchange.body))
+        if self._http is None:
+            host, port = self.place
+            self._http = HTTPClient(host, port=port, disable_ipv6=True)
         try:
             text = self._http._build_request(
                 exchange.method, exchange.target, b"", headers, chunked=False
--- a/quetzalwall/process/knowledge/endpoint_table.py
+++ b/quetzalwall/process/knowledge/endpoint_table.py
@@ -41,6 +41,8 @@
         self._monotonic = monotonic
         self._states = {}
         self._services = {}
+        self._places = {}
+        self._usable = {}
         self._orders = OrderedDict()
         self._codes = {}
 
@@ -90,11 +92,15 @@
         -------
         list of EndpointState
         """
-        return [
-            state
-            for state in self._services.get(service, ())
-            if state.usable() and state.entry.domain not in self.evacuated
-        ]
+        found = self._usable.get(service)
+        if found is None:
+            found = self._usable[service] = [
+                state
+                for state in self._services.get(service, {}).values()
+                if state.usable() and state.entry.domain not in self.evacuated
+            ]
+        # An answer may tell that an address is wrong, which changes nothing here.
+        return [state for state in found if not state.wrong_address]
 
     def own_open(self, service, region):
         """Return the requests of this instance that are open in a region.
@@ -110,7 +116,7 @@
         """
         return sum(
             state.own_open
-            for state in self._services.get(service, ())
+            for state in self._services.get(service, {}).values()
             if state.region == region
         )
 
@@ -141,13 +147,15 @@
             self._orders.popitem(last=False)
         return ranks
 
-    def put(self, entry):
+    def put(self, entry, log=True):
         """Take over what the registry says of an endpoint.
 
         Parameters
         ----------
         entry : EndpointEntry
             The entry.
+        log : bool, default=True
+            Whether a line is written of an endpoint that was not known.
         """
         state = self._states.get(entry.name)
         moved = state is not None and (
@@ -155,12 +163,19 @@
         )
         if state is None or moved or state.entry.born != entry.born:
             self._start(entry, state)
+            if log or state is not None:
+                _log_change("registered" if state is None else "restarted", entry)
             return
         old, state.entry = state.entry, entry
         state.present, state.lapsed_until = True, None
         state.note_cold(entry.cold_s, self._monotonic())
+        if old.service != entry.service:
+            _remove(self._services, old.service, entry.name)
+            self._note_change(old.service)
+            self._add(state)
+        if old.leaving != entry.leaving or old.domain != entry.domain:
+            self._note_change(entry.service)
         if old.leaving != entry.leaving or old.service != entry.service:
-            self._index()
             _log_change("leaving" if entry.leaving else "changed", entry)
 
     def remove(self, name, away):
@@ -214,7 +229,8 @@
             if state.entry.domain in back:
                 # Without work they lose what made them fast.
                 state.note_cold(cold_s(state.entry.service), now)
-        self._index()
+        self._orders.clear()
+        self._usable.clear()
 
     def close(self):
         """Close all connections."""
@@ -227,28 +243,41 @@
         if old is not None:
             old.present = False
             old.client.close()
-        for other in self._states.values():
-            same = (other.entry.host, other.entry.port) == (entry.host, entry.port)
-            if same and other.name != entry.name and other.entry.born <= entry.born:
+            self._take_out(old)
+        place = self._places.setdefault((entry.host, entry.port), {})
+        for other in place.values():
+            if other.entry.born <= entry.born:
                 other.wrong_address = True
+                self._note_change(other.entry.service)
+        place[entry.name] = state
+        # One that starts anew keeps its place among all.
         self._states[entry.name] = state
         self._codes[endpoint_code(entry.name)] = state
-        self._index()
-        _log_change("registered" if old is None else "restarted", entry)
+        self._add(state)
 
     def _drop(self, state):
         state.present = False
         state.client.close()
         self._states.pop(state.name, None)
         self._codes.pop(endpoint_code(state.name), None)
-        self._index()
+        self._take_out(state)
         _log_change("gone", state.entry)
 
-    def _index(self):
-        self._orders.clear()
-        self._services = {}
-        for state in self._states.values():
-            self._services.setdefault(state.entry.service, []).append(state)
+    def _add(self, state):
+        self._services.setdefault(state.entry.service, {})[state.name] = state
+        self._note_change(state.entry.service)
+
+    def _take_out(self, state):
+        """Take a state out of what is found by place and by service."""
+        entry = state.entry
+        _remove(self._places, (entry.host, entry.port), entry.name)
+        _remove(self._services, entry.service, entry.name)
+        self._note_change(entry.service)
+
+    def _note_change(self, service):
+        self._usable.pop(service, None)
+        if self._orders:
+            self._orders.clear()
 
 
 def endpoint_code(name):
@@ -266,6 +295,13 @@
     return xxhash.xxh32_intdigest(name.encode())
 
 
+def _remove(index, key, name):
+    states = index[key]
+    states.pop(name, None)
+    if not states:
+        del index[key]
+
+
 def _weight(object_key, name):
     return xxhash.xxh64_intdigest(f"{object_key}/{name}".encode())
 
--- a/quetzalwall/process/knowledge/knowledge.py
+++ b/quetzalwall/process/knowledge/knowledge.py
@@ -2,6 +2,8 @@
 
 import base64
 
+import gevent
+
 from quetzalwall.exceptions import PeerError, SettingsError
 from quetzalwall.logs import get_logger, log_event
 from quetzalwall.platform.rows import (
@@ -28,6 +30,7 @@
 PLATFORM_TABLES = (OPERATOR_TABLE, ENDPOINTS_TABLE)
 TREE_TABLES = (SETTINGS_TABLE,)
 
+ROWS_AT_ONCE = 200  # endpoints taken over before other tasks get their turn
 MOST_REMOVED = 2000  # removals remembered of a table, to tell them to others
 LOG = get_logger("config")
 
@@ -63,6 +66,7 @@
         self._removed = {table: {} for table in tables}
         self._forgotten = dict.fromkeys(tables, 0)
         self._versions = {}
+        self._taken = set()
 
     def configuration(self):
         """Return the configuration in force, or None.
@@ -80,7 +84,7 @@
         -------
         bool
         """
-        return self._cfg is not None and len(self._versions) == len(self.tables)
+        return self._cfg is not None and len(self._taken) == len(self.tables)
 
     def apply(self, table, rows, whole, away):
         """Take over rows of a table.
@@ -121,6 +125,7 @@
             self._apply_endpoints(changes, lapsed)
         else:
             self._apply_tree()
+        self._taken.add(table)
 
     def export(self, table, after=0):
         """Return a table, or what has changed, as another instance may take it over.
@@ -235,7 +240,10 @@
         return spec.cold_s if spec else 0.0
 
     def _apply_endpoints(self, changes, lapsed):
-        for change in changes:
+        first = ENDPOINTS_TABLE not in self._taken
+        for number, change in enumerate(changes, 1):
+            if number % ROWS_AT_ONCE == 0:
+                gevent.sleep(0)
             if change.value is None:
                 self.endpoints.remove(change.key, change.key in lapsed)
                 continue
@@ -251,7 +259,9 @@
                     reason=exc.message,
                 )
                 continue
-            self.endpoints.put(entry)
+            self.endpoints.put(entry, log=not first)
+        if first:
+            log_event(LOG, "registry", endpoints=len(self.endpoints))
 
 
 def read_exported(body, peer):
--- a/quetzalwall/process/knowledge/tests/test_endpoint_table.py
+++ b/quetzalwall/process/knowledge/tests/test_endpoint_table.py
@@ -1,3 +1,5 @@
+import random
+
 from quetzalwall.process.knowledge.endpoint_table import create_endpoint_table
 from quetzalwall.process.self_watch import resident_bytes
 from quetzalwall.tests.platform_fixtures import ManualClock
@@ -36,3 +38,47 @@
         names = [name for name in table.order("desk", key) if name != "ep-new"]
         known = [name for name in first[key] if name in names]
         assert names == known
+
+
+def usable_of(table, service):
+    """Return what `of_service` has to return, from all states."""
+    return {
+        state.name
+        for state in table
+        if state.entry.service == service
+        and state.usable()
+        and state.entry.domain not in table.evacuated
+    }
+
+
+# What is found by service and by address is kept up with each change; a change that is
+# missed would send requests to endpoints that leave, or that others have replaced.
+def test_what_is_found_by_service_follows_each_change():
+    rng, table = random.Random(7), table_of(0)
+    for step in range(3000):
+        name = f"ep-{rng.randrange(8)}"
+        what = rng.randrange(8)
+        if what == 0:
+            table.remove(name, rng.random() < 0.5)
+        elif what == 1:
+            table.evacuate({"a"} if rng.random() < 0.5 else set(), lambda _: 1.0)
+        elif what == 2 and table.get(name) is not None:
+            table.get(name).wrong_address = True
+        else:
+            service, domain = rng.choice(["desk", "shop"]), rng.choice("ab")
+            place = "127.0.0.1", rng.randrange(1, 5)
+            fields = domain, 3, rng.random() < 0.2, 0.0, rng.randrange(3)
+            known = {state.name: state.usable() for state in table}
+            born = {state.name: state.entry.born for state in table}
+            there = {s.name for s in table if (s.entry.host, s.entry.port) == place}
+            was = table.get(name)
+            table.put(EndpointEntry(name, service, *place, *fields))
+            if table.get(name) is not was:
+                for other in there - {name}:
+                    if born[other] <= fields[-1]:
+                        known[other] = False
+                    assert table.get(other).usable() == known[other], step
+        for service in ("desk", "shop"):
+            found = [state.name for state in table.of_service(service)]
+            assert len(found) == len(set(found))
+            assert set(found) == usable_of(table, service), step
--- a/quetzalwall/process/knowledge/tests/test_large_registry.py
+++ b/quetzalwall/process/knowledge/tests/test_large_registry.py
@@ -14,6 +14,7 @@
     DOMAINS,
     Beat,
     ManualClock,
+    config_body,
     entry_body,
 )
 
@@ -66,3 +67,21 @@
     knowledge = create()
     knowledge.apply("servers", rows_of(LARGE, 1, 1), True, False)
     assert held_s(knowledge, removals(LARGE, 2), False) < HELD_S
+
+
+# Taken over in parts, a large registry must not serve requests by the first part of it.
+def test_an_instance_is_not_ready_while_its_registry_is_half_taken_over():
+    knowledge = create()
+    config = RowChange("config", msgspec.json.encode(config_body()), 1)
+    knowledge.apply("op", Rows([config], 1), True, False)
+    seen = []
+
+    def look():
+        while not knowledge.ready():
+            seen.append(len(knowledge.endpoints))
+            gevent.sleep(0)
+
+    task = gevent.spawn(look)
+    knowledge.apply("servers", rows_of(LARGE, 1, 1), True, False)
+    task.join()
+    assert len(seen) > 1 and len(knowledge.endpoints) == LARGE
