List the instances that share limits once, and work cold parts out once

Cause: for each cold endpoint each choice listed all instances anew and put them in order by a hash. The list is kept until an instance comes, changes or is forgotten, exactly when it was before; the part of a cold endpoint's rate is kept as long as that list and the limit hold.

--- a/quetzalwall/process/knowledge/fleet.py
+++ b/quetzalwall/process/knowledge/fleet.py
@@ -10,6 +10,7 @@
 
 from quetzalwall.logs import get_logger, log_event
 from quetzalwall.process.knowledge.endpoint_table import endpoint_code
+from quetzalwall.process.knowledge.members import Members, counts
 from quetzalwall.process.knowledge.peer_report import (
     Audience,
     Peer,
@@ -27,7 +28,6 @@
 SILENT_AFTER_S = 1.5
 SILENT_PERIODS = 6
 OWN_PAUSE_S = 1.0  # between two looks, after which silence says nothing
-FORGET_AFTER_S = 30.0
 MOST_DATAGRAM_BYTES = 60_000
 CALL_EVERY_S = 1.0  # to known instances that are silent
 LOG = get_logger("fleet")
@@ -63,6 +63,7 @@
         self._looked = None
         self._audiences = (Audience(near=True), Audience(near=False))
         self._peers = {}
+        self._members = Members(card)
         self._tasks = []
         self._sock = None
 
@@ -109,6 +110,7 @@
         if card.name != self.card.name and card.name not in self._peers:
             peer = self._peers[card.name] = Peer(card)
             peer.introduced = self._monotonic()
+            self._members.clear()
 
     def live(self):
         """Return the instances that callers may use, this one included.
@@ -145,12 +147,9 @@
         Returns
         -------
         list of str
+            Not to be changed; the same one until an instance comes or goes.
         """
-        return [
-            card.name
-            for card in self.cards()
-            if region is None or card.region == region
-        ]
+        return self._members.names(self._peers, region, self._monotonic())
 
     def cards(self):
         """Return the instances that may run, this one included.
@@ -159,13 +158,7 @@
         -------
         list of PeerCard
         """
-        now = self._monotonic()
-        cards = [
-            peer.card
-            for peer in self._peers.values()
-            if now - max(peer.heard, peer.introduced) < FORGET_AFTER_S
-        ]
-        return [self.card, *cards]
+        return self._members.cards(self._peers, self._monotonic())
 
     def receive(self, report, now):
         """Take over what another instance reports.
@@ -185,6 +178,8 @@
             peer = self._peers[name] = Peer(report.card)
         if not _is_newer(report, peer):
             return
+        if peer.card != report.card or not counts(peer, now):
+            self._members.clear()
         peer.card = report.card
         if report.process != peer.process:
             peer.former_process, peer.process = peer.process, report.process
--- /dev/null
+++ b/quetzalwall/process/knowledge/tests/test_members.py
@@ -0,0 +1,47 @@
+import random
+
+from quetzalwall.platform.headers import answer_facts
+from quetzalwall.process.knowledge.endpoint_table import create_endpoint_table
+from quetzalwall.process.knowledge.fleet import create_fleet
+from quetzalwall.process.knowledge.members import FORGET_AFTER_S
+from quetzalwall.process.knowledge.peer_report import PeerCard, PeerReport
+from quetzalwall.tests.platform_fixtures import DOMAINS, ManualClock
+
+NAMES = [f"front-{n}" for n in range(6)]
+
+
+def create(clock):
+    card = PeerCard("own", "north", "north-a", "127.0.0.1")
+    endpoints = create_endpoint_table(DOMAINS, answer_facts, clock.monotonic)
+    return create_fleet(card, 1, endpoints, clock.monotonic, 7)
+
+
+def card_of(name, rng):
+    return PeerCard(name, rng.choice(["north", "south"]), "a", "127.0.0.1")
+
+
+# Who shares the limits is listed once for many requests; with an instance missed, the
+# parts together would pass a limit, such as the rate that a cold endpoint bears.
+def test_the_instances_that_share_limits_are_listed_as_they_come_and_go():
+    rng, clock = random.Random(7), ManualClock()
+    fleet, heard, cards = create(clock), {}, {}
+    for sequence in range(3000):
+        clock.now += rng.choice([0.1, 1.0, 0.4 * FORGET_AFTER_S])
+        name = rng.choice(NAMES)
+        if rng.random() < 0.2:
+            if name not in heard:
+                heard[name], cards[name] = clock.now, card_of(name, rng)
+                fleet.introduce(cards[name])
+        else:
+            if name not in cards or rng.random() < 0.1:
+                cards[name] = card_of(name, rng)
+            heard[name] = clock.now
+            report = PeerReport(cards[name], 5, sequence, False, True, {}, [], [], [])
+            fleet.receive(report, clock.now)
+        counted = [n for n, at in heard.items() if clock.now - at < FORGET_AFTER_S]
+        assert sorted(fleet.names()) == sorted([*counted, fleet.card.name]), sequence
+        near = [n for n in counted if cards[n].region == fleet.card.region]
+        assert sorted(fleet.names("north")) == sorted([*near, fleet.card.name])
+        assert {card.name: card for card in fleet.cards()[1:]} == {
+            n: cards[n] for n in counted
+        }
--- a/quetzalwall/process/limits/cold_pacing.py
+++ b/quetzalwall/process/limits/cold_pacing.py
@@ -51,6 +51,8 @@
         self._instance = instance
         self._bounds = bounds
         self._windows = {}
+        self._shares = {}
+        self._instances = None
 
     def configure(self, bounds):
         """Take over other bounds.
@@ -72,7 +74,8 @@
         per_s : float
             Requests a second that it tolerates.
         instances : sequence of str
-            Names of all instances that may send to it.
+            Names of all instances that may send to it; a list that is never changed,
+            so that what follows from it is worked out once.
         now : float
             Monotonic seconds.
 
@@ -81,8 +84,8 @@
         bool
         """
         limit = per_s * self._bounds.cold_overage + self._bounds.cold_slack
-        share = cold_share(limit, self._instance, endpoint, instances)
-        return self._window(endpoint).total(now) + 1 <= share
+        share = self._share(endpoint, limit, instances)
+        return share > 0 and self._window(endpoint).total(now) + 1 <= share
 
     def note(self, endpoint, now):
         """Count a request to a cold endpoint.
@@ -107,6 +110,18 @@
         self._windows = {
             name: window for name, window in self._windows.items() if known(name)
         }
+        self._shares = {
+            name: share for name, share in self._shares.items() if known(name)
+        }
+
+    def _share(self, endpoint, limit, instances):
+        if instances is not self._instances:
+            self._instances, self._shares = instances, {}
+        kept = self._shares.get(endpoint)
+        if kept is None or kept[0] != limit:
+            share = cold_share(limit, self._instance, endpoint, instances)
+            kept = self._shares[endpoint] = limit, share
+        return kept[1]
 
     def _window(self, endpoint):
         window = self._windows.get(endpoint)
