--- a/quetzalwall/request/choose.py
+++ b/quetzalwall/request/choose.py
@@ -11,6 +11,7 @@
 from quetzalwall.process.knowledge.endpoint_table import HOLDERS
 from quetzalwall.process.limits.share import whole_share
 from quetzalwall.request.estimate import wait_s
+from quetzalwall.request.few import few_of
 
 __all__ = ["Chooser", "Choice", "Refusal", "create_chooser"]
 
@@ -149,14 +150,18 @@
         -------
         Choice or Refusal
         """
-        candidates = self._candidates(cfg, route, service, now, tried)
-        if region is not None:
-            candidates = [state for state in candidates if state.region == region]
-        if not candidates:
-            return Refusal("no endpoint", LEAST_RETRY_S * 2)
         order = {}
         if object_key is not None:
             order = self._endpoints.order(service, object_key)
+        states = self._endpoints.of_service(service)
+        few = self._few_of(states, order, region)
+        candidates = self._candidates(cfg, route, service, now, tried, few, region)
+        if not candidates and few is not states:
+            candidates = self._candidates(
+                cfg, route, service, now, tried, states, region
+            )
+        if not candidates:
+            return Refusal("no endpoint", LEAST_RETRY_S * 2)
         costs = self._costs(route, service, candidates)
         best, least_key, ranks = None, math.inf, order.get
         for state in candidates:
@@ -237,11 +242,15 @@
             self._waits[key] = _longest_wait_s(cfg, route, service)
         return self._waits[key]
 
-    def _candidates(self, cfg, route, service, now, tried):
+    def _few_of(self, states, order, region):
+        first = [state for state in map(self._endpoints.get, order) if state.usable()]
+        return few_of(states, first, region or self._region, self._rng)
+
+    def _candidates(self, cfg, route, service, now, tried, states, region):
         full = self._full_regions(cfg.services.get(service))
         usable = [
             state
-            for state in self._endpoints.of_service(service)
+            for state in states
             if (not route.regions or state.region in route.regions)
             and state.region not in full
             and state.name not in tried
@@ -249,7 +258,10 @@
         ]
         limit_s = self._silence_limit_s(service)
         sound = [state for state in usable if not _out_of_use(state, limit_s, now)]
-        return sound or usable
+        found = sound or usable
+        if region is None:
+            return found
+        return [state for state in found if state.region == region]
 
     def gone_silent(self, state, now):
         """Return whether an endpoint that was chosen answers nobody any more.
--- a/quetzalwall/request/tests/test_choices_at_scale.py
+++ b/quetzalwall/request/tests/test_choices_at_scale.py
@@ -45,11 +45,17 @@
     return create_chooser(table, create_durations("north"), cold, fleet, rng)
 
 
+def desk():
+    """Return a configuration and a route of the service."""
+    cfg = decode_configuration(msgspec.json.encode(config_body()))
+    return cfg, cfg.hosts[HOST][0]
+
+
 def choice_s(size, cold_s):
     """Return the processor time of one choice."""
     chooser = chooser_of(*size, cold_s)
-    cfg = decode_configuration(msgspec.json.encode(config_body()))
-    route, now = cfg.hosts[HOST][0], ManualClock().now
+    cfg, route = desk()
+    now = ManualClock().now
     chooser.choose(cfg, route, "desk", 1, LEFT_S, now)
     took = []
     for _ in range(PLAYS):
