Weigh what holds the object or is connected, also of a large service

Endpoints that hold the object beyond the first three, and those with an open connection, could be missed by the draw.

Up to 32 of these are weighed as well.

--- a/quetzalwall/process/knowledge/endpoint_state.py
+++ b/quetzalwall/process/knowledge/endpoint_state.py
@@ -37,6 +37,8 @@
         Requests of this instance that are under way there.
     peer_open : int
         Requests of the other instances, by their last reports.
+    objects : OrderedDict
+        Codes of the objects that it has served, the last one last.
     present : bool
         Whether the registry holds it, or held it until the store went away.
     """
@@ -52,7 +54,7 @@
         self.wrong_address = False
         self.cold_until = -math.inf
         self.note_cold(entry.cold_s, now)
-        self._objects = OrderedDict()
+        self.objects = OrderedDict()
         self._slowness = 1.0
         self._slowness_at = -math.inf
         self._slowness_own = False
@@ -250,9 +252,9 @@
         int or None
             None if it has not served it, as far as is remembered.
         """
-        if object_key not in self._objects:
+        if object_key not in self.objects:
             return None
-        later = reversed(self._objects)
+        later = reversed(self.objects)
         return next(count for count, key in enumerate(later) if key == object_key)
 
     def untried(self):
@@ -262,7 +264,7 @@
         -------
         bool
         """
-        return not self._objects
+        return not self.objects
 
     def note_held(self, object_key):
         """Record that it has served an object.
@@ -272,10 +274,10 @@
         object_key : int
             Code of the object.
         """
-        self._objects[object_key] = True
-        self._objects.move_to_end(object_key)
-        if len(self._objects) > MOST_OBJECTS:
-            self._objects.popitem(last=False)
+        self.objects[object_key] = True
+        self.objects.move_to_end(object_key)
+        if len(self.objects) > MOST_OBJECTS:
+            self.objects.popitem(last=False)
 
     def note_success(self):
         """Record a sound answer."""
--- a/quetzalwall/request/choose.py
+++ b/quetzalwall/request/choose.py
@@ -154,7 +154,7 @@
         if object_key is not None:
             order = self._endpoints.order(service, object_key)
         states = self._endpoints.of_service(service)
-        few = self._few_of(states, order, region)
+        few = self._few_of(states, order, region, object_key)
         candidates = self._candidates(cfg, route, service, now, tried, few, region)
         if not candidates and few is not states:
             candidates = self._candidates(
@@ -242,9 +242,10 @@
             self._waits[key] = _longest_wait_s(cfg, route, service)
         return self._waits[key]
 
-    def _few_of(self, states, order, region):
+    def _few_of(self, states, order, region, object_key):
         first = [state for state in map(self._endpoints.get, order) if state.usable()]
-        return few_of(states, first, region or self._region, self._rng)
+        home = region or self._region
+        return few_of(states, first, home, object_key, self._rng)
 
     def _candidates(self, cfg, route, service, now, tried, states, region):
         full = self._full_regions(cfg.services.get(service))
--- a/quetzalwall/request/few.py
+++ b/quetzalwall/request/few.py
@@ -5,13 +5,16 @@
 MOST_WEIGHED = 256  # up to which all are: about 0.7 ms of processor time
 FEW_NEAR = 96  # the best of so many is among the best two in a hundred, nearly always
 FEW_FAR = 32
+MOST_KNOWN = 32  # of the others that have served the object, or are connected
 
 
-def few_of(states, first, region, rng):
+def few_of(states, first, region, object_key, rng):
     """Return the endpoints to weigh: all of them, or some if they are many.
 
-    Weighing all costs each request in proportion to the deployment. Drawing some at
-    random loses little, and has instances that know the same choose differently.
+    Weighing all costs each request in proportion to the deployment. What makes an
+    endpoint better than most is the object or an open connection, so some of those
+    that have one are weighed. Drawing the others at random loses little, and has
+    instances that know the same choose differently.
 
     Parameters
     ----------
@@ -21,6 +24,8 @@
         Those that should hold the object, weighed in any case.
     region : str
         Region whose endpoints are preferred.
+    object_key : int or None
+        Code of the object.
     rng : random.Random
         Draws the others.
 
@@ -30,12 +35,15 @@
     """
     if len(states) <= MOST_WEIGHED:
         return states
-    near, far = [], []
+    near, far, known = [], [], []
     for state in states:
         (near if state.region == region else far).append(state)
+        if object_key in state.objects or state.client.idle_count():
+            known.append(state)
     # What one side lacks, the other makes up for.
     most = FEW_NEAR + FEW_FAR
     take_far = min(len(far), max(FEW_FAR, most - len(near)))
     take_near = min(len(near), most - take_far)
     drawn = rng.sample(near, take_near) + rng.sample(far, take_far)
+    drawn += rng.sample(known, min(len(known), MOST_KNOWN))
     return list({state.name: state for state in [*first, *drawn]}.values())
--- a/quetzalwall/request/tests/test_few.py
+++ b/quetzalwall/request/tests/test_few.py
@@ -22,10 +22,20 @@
 def test_all_endpoints_of_a_service_that_is_not_large_are_weighed():
     chooser = chooser_of(30, MOST_WEIGHED, 0.0)
     states = chooser._endpoints.of_service("desk")
-    assert few_of(states, [], "north", random.Random(7)) is states
+    assert few_of(states, [], "north", 1, random.Random(7)) is states
     assert choice_of(chooser, 1).of == MOST_WEIGHED
 
 
+# With some endpoints weighed, a request could miss the one that has served its object.
+def test_an_endpoint_that_has_served_the_object_is_weighed_among_many():
+    chooser = chooser_of(30, COUNT, 0.0)
+    for key in range(PLAYS):
+        holder = chooser._endpoints.get(f"ep-{key}")
+        holder.note_held(key)
+        states = chooser._endpoints.of_service("desk")
+        assert holder in few_of(states, [], "north", key, random.Random(key))
+
+
 # With some endpoints weighed, a request could miss the few that it can go to.
 def test_the_only_endpoint_that_is_left_is_found_among_many():
     chooser = chooser_of(30, COUNT, 0.0)
