--- a/quetzalwall/exceptions.py
+++ b/quetzalwall/exceptions.py
@@ -11,6 +11,7 @@
     "NoRoom",
     "NotConnected",
     "NotRun",
+    "NotSent",
     "OutcomeUnknown",
     "PeerError",
     "QuetzalwallError",
@@ -113,11 +114,15 @@
         self.retry_after_s = retry_after_s
 
 
-class NotConnected(NotRun):
+class NotSent(NotRun):
+    """Nothing was sent to the endpoint."""
+
+
+class NotConnected(NotSent):
     """The endpoint accepted no connection."""
 
 
-class NoRoom(NotRun):
+class NoRoom(NotSent):
     """No connection is left to this instance, whatever the endpoint does."""
 
 
--- a/quetzalwall/process/knowledge/knowledge.py
+++ b/quetzalwall/process/knowledge/knowledge.py
@@ -2,6 +2,8 @@
 
 import base64
 
+import gevent
+
 from quetzalwall.exceptions import PeerError, SettingsError
 from quetzalwall.logs import get_logger, log_event
 from quetzalwall.platform.rows import (
@@ -28,6 +30,7 @@
 PLATFORM_TABLES = (OPERATOR_TABLE, ENDPOINTS_TABLE)
 TREE_TABLES = (SETTINGS_TABLE,)
 
+ROWS_AT_ONCE = 200  # endpoints taken over before other tasks get their turn
 MOST_REMOVED = 2000  # removals remembered of a table, to tell them to others
 LOG = get_logger("config")
 
@@ -63,6 +66,7 @@
         self._removed = {table: {} for table in tables}
         self._forgotten = dict.fromkeys(tables, 0)
         self._versions = {}
+        self._taken = set()
 
     def configuration(self):
         """Return the configuration in force, or None.
@@ -80,7 +84,7 @@
         -------
         bool
         """
-        return self._cfg is not None and len(self._versions) == len(self.tables)
+        return self._cfg is not None and len(self._taken) == len(self.tables)
 
     def apply(self, table, rows, whole, away):
         """Take over rows of a table.
@@ -111,6 +115,10 @@
         for change in changes:
             self._keep(table, change, change.key in lapsed)
         self._versions[table] = rows.version
+        self.fleet.read_up_to[table] = rows.version
+        if whole:
+            # What came and went before is not known here; who asks may know it.
+            self._forgotten[table] = max(self._forgotten[table], rows.version)
         if changes:
             newest = max(change.version for change in changes)
             known = self.fleet.tables.get(table, 0)
@@ -118,9 +126,10 @@
         if table == OPERATOR_TABLE:
             self._apply_operator(changes)
         elif table == ENDPOINTS_TABLE:
-            self._apply_endpoints(changes, lapsed)
+            self._apply_endpoints(changes, lapsed, rows.lapse_s)
         else:
             self._apply_tree()
+        self._taken.add(table)
 
     def export(self, table, after=0):
         """Return a table, or what has changed, as another instance may take it over.
@@ -147,7 +156,7 @@
             if change.version > after
         }
         removed = {
-            key: [version, lapsed]
+            key: [version, lapsed and self.endpoints.lapse_s(key)]
             for key, (version, lapsed) in self._removed[table].items()
             if version > after > 0
         }
@@ -234,10 +243,13 @@
         spec = self._cfg.services.get(service) if self._cfg else None
         return spec.cold_s if spec else 0.0
 
-    def _apply_endpoints(self, changes, lapsed):
-        for change in changes:
+    def _apply_endpoints(self, changes, lapsed, lapse_s):
+        first = ENDPOINTS_TABLE not in self._taken
+        for number, change in enumerate(changes, 1):
+            if number % ROWS_AT_ONCE == 0:
+                gevent.sleep(0)
             if change.value is None:
-                self.endpoints.remove(change.key, change.key in lapsed)
+                self.endpoints.remove(change.key, change.key in lapsed, lapse_s)
                 continue
             try:
                 entry = decode_endpoint(change.key, change.value)
@@ -251,7 +263,9 @@
                     reason=exc.message,
                 )
                 continue
-            self.endpoints.put(entry)
+            self.endpoints.put(entry, log=not first)
+        if first:
+            log_event(LOG, "registry", endpoints=len(self.endpoints))
 
 
 def read_exported(body, peer):
@@ -283,9 +297,11 @@
             RowChange(key, None, int(version))
             for key, (version, _) in body["removed"].items()
         ]
-        lapsed = frozenset(key for key, (_, gone) in body["removed"].items() if gone)
+        left_s = {key: float(s) for key, (_, s) in body["removed"].items() if s}
+        lapse_s = min(left_s.values(), default=None)
         rows.sort(key=lambda change: change.version)
-        return Rows(rows, int(body["version"]), lapsed), bool(body["whole"])
+        version = int(body["version"])
+        return Rows(rows, version, frozenset(left_s), lapse_s), bool(body["whole"])
     except (KeyError, TypeError, ValueError, AttributeError) as exc:
         raise PeerError(f"bad rows: {exc!r}", step="read rows", peer=peer) from exc
 
