Do in the quiet what has changed, not what there is

Cause: ten times a second each instance went through all others (who is silent, how often to report, who follows the store, who knows more), twice a second through all endpoints, and woke for each datagram. Now the others are counted as they come; who is silent is looked for when somebody can be; the latest version that was told is kept; those that may follow the store are kept in order; entries that lapsed are listed. Where reports of a peer are more than 0.3 s apart, datagrams wait up to a tenth of that time and are taken together; small fleets take each at once, as before.

--- a/quetzalwall/process/front.py
+++ b/quetzalwall/process/front.py
@@ -154,6 +154,7 @@
         }
         self._servers = {}
         self._tasks = []
+        self._forgotten = 0
 
     def start(self):
         """Begin service."""
@@ -311,9 +312,12 @@
     def _tick(self):
         self.endpoints.drop_lapsed()
         for state in self.endpoints:
-            state.client.close_stale()
+            if state.client.idle_count():
+                state.client.close_stale()
         self.limits.shifts.step()
-        self.limits.cold.forget(lambda name: self.endpoints.get(name) is not None)
+        if self.endpoints.forgotten != self._forgotten:
+            self._forgotten = self.endpoints.forgotten
+            self.limits.cold.forget(lambda name: self.endpoints.get(name) is not None)
 
     def _make_room(self):
         for name, server in self._servers.items():
--- a/quetzalwall/process/knowledge/endpoint_table.py
+++ b/quetzalwall/process/knowledge/endpoint_table.py
@@ -32,6 +32,8 @@
     ----------
     evacuated : set of str
         Failure domains whose endpoints get nothing.
+    forgotten : int
+        Grows with each endpoint that is forgotten.
     """
 
     def __init__(self, domains, read_facts, monotonic):
@@ -45,6 +47,8 @@
         self._usable = {}
         self._orders = OrderedDict()
         self._codes = {}
+        self._lapsed = set()
+        self.forgotten = 0
 
     def __len__(self):
         return len(self._states)
@@ -80,6 +84,15 @@
         """
         return self._codes.get(code)
 
+    def codes(self):
+        """Return the endpoints with their short codes.
+
+        Returns
+        -------
+        iterable of (int, EndpointState)
+        """
+        return self._codes.items()
+
     def of_service(self, service):
         """Return the endpoints of a service that may get new requests.
 
@@ -193,15 +206,21 @@
             return
         if away and state.present and not state.entry.leaving:
             state.lapsed_until = self._monotonic() + RETURN_GRACE_S
+            self._lapsed.add(name)
             _log_change("lapsed", state.entry)
             return
         self._drop(state)
 
     def drop_lapsed(self):
         """Forget endpoints whose entries did not return with the store."""
+        if not self._lapsed:
+            return
         now = self._monotonic()
-        for state in list(self._states.values()):
-            if state.lapsed_until is not None and now >= state.lapsed_until:
+        for name in list(self._lapsed):
+            state = self._states.get(name)
+            if state is None or state.lapsed_until is None:
+                self._lapsed.discard(name)
+            elif now >= state.lapsed_until:
                 self._drop(state)
 
     def evacuate(self, domains, cold_s):
@@ -258,6 +277,7 @@
     def _drop(self, state):
         state.present = False
         state.client.close()
+        self.forgotten += 1
         self._states.pop(state.name, None)
         self._codes.pop(endpoint_code(state.name), None)
         self._take_out(state)
--- a/quetzalwall/process/knowledge/fleet.py
+++ b/quetzalwall/process/knowledge/fleet.py
@@ -4,31 +4,24 @@
 sender, so that a lost one is made good by the next.
 """
 
-import gevent
-import gevent.socket
-import msgspec
+import math
+from bisect import insort
 
 from quetzalwall.logs import get_logger, log_event
+from quetzalwall.process.knowledge.audience import PERIOD_S, SILENT_AFTER_S, Audience
 from quetzalwall.process.knowledge.endpoint_table import endpoint_code
 from quetzalwall.process.knowledge.members import Members, counts
-from quetzalwall.process.knowledge.peer_report import (
-    Audience,
-    Peer,
-    PeerReport,
-    decode_report,
-    encode_report,
-)
+from quetzalwall.process.knowledge.peer_report import Peer, PeerReport, is_newer
+from quetzalwall.process.knowledge.peer_socket import PeerSocket
 from quetzalwall.process.tasks import repeat
 
-__all__ = ["Fleet", "create_fleet"]
+__all__ = ["SILENT_AFTER_S", "Fleet", "create_fleet"]
 
-PERIOD_S = 0.1
 NEAR_PER_S = 60.0  # datagrams of one instance to its region; more peers hear less often
 FAR_PER_S = 40.0  # and to the other regions
-SILENT_AFTER_S = 1.5
-SILENT_PERIODS = 6
+READ_PART = 0.1  # of the time between two datagrams of a peer, for which one may wait
+LEAST_READ_S = 0.03  # below which waiting saves no wake-ups
 OWN_PAUSE_S = 1.0  # between two looks, after which silence says nothing
-MOST_DATAGRAM_BYTES = 60_000
 CALL_EVERY_S = 1.0  # to known instances that are silent
 LOG = get_logger("fleet")
 
@@ -61,28 +54,27 @@
         self._process = process
         self._sequence = 0
         self._looked = None
-        self._audiences = (Audience(near=True), Audience(near=False))
+        self._first_silence = -math.inf
+        self._newest = {}
+        self._before = []
+        self._audiences = (Audience(True, NEAR_PER_S), Audience(False, FAR_PER_S))
         self._peers = {}
         self._members = Members(card)
-        self._tasks = []
-        self._sock = None
+        self._task = None
+        self._socket = None
 
     def start(self):
         """Begin to send and to listen."""
-        sock = gevent.socket.socket(gevent.socket.AF_INET, gevent.socket.SOCK_DGRAM)
-        try:
-            sock.bind((self.card.host, self._port))
-        except OSError:
-            sock.close()
-            raise
-        self._sock = sock
-        self._tasks = [repeat(self._receive_next, 0), repeat(self._report, PERIOD_S)]
+        self._socket = PeerSocket(
+            self.card.host, self._port, self._take, self._read_pause_s
+        )
+        self._task = repeat(self._report, PERIOD_S)
 
     def close(self):
         """Stop."""
-        gevent.killall(self._tasks)
-        if self._sock is not None:
-            self._sock.close()
+        if self._socket is not None:
+            self._task.kill()
+            self._socket.close()
 
     def note_held(self, endpoint, object_key):
         """Have the others told that an endpoint has served an object.
@@ -108,10 +100,18 @@
             Who it is.
         """
         if card.name != self.card.name and card.name not in self._peers:
-            peer = self._peers[card.name] = Peer(card)
-            peer.introduced = self._monotonic()
+            self._add(card).introduced = self._monotonic()
             self._members.clear()
 
+    def others(self):
+        """Return the number of other instances that are known.
+
+        Returns
+        -------
+        int
+        """
+        return len(self._peers)
+
     def live(self):
         """Return the instances that callers may use, this one included.
 
@@ -175,11 +175,14 @@
             return
         peer = self._peers.get(name)
         if peer is None:
-            peer = self._peers[name] = Peer(report.card)
-        if not _is_newer(report, peer):
+            peer = self._add(report.card)
+        if not is_newer(report, peer):
             return
         if peer.card != report.card or not counts(peer, now):
             self._members.clear()
+        if peer.card.region != report.card.region:
+            self._count(peer.card, -1)
+            self._count(report.card, 1)
         peer.card = report.card
         if report.process != peer.process:
             peer.former_process, peer.process = peer.process, report.process
@@ -191,6 +194,11 @@
         peer.leaving = report.leaving
         peer.reaches_store = report.reaches_store
         peer.tables = report.tables
+        for table, version in report.tables.items():
+            if version > self._newest.get(table, 0):
+                self._newest[table] = version
+        if peer.silent:
+            self._first_silence = -math.inf
         peer.heard, peer.silent = now, False
         self._set_open(peer, dict(report.open))
         for code, hundredths, age_ms in report.slow:
@@ -217,7 +225,7 @@
         """
         due = []
         for audience in self._audiences:
-            if now - audience.told > self._period_s(audience) - PERIOD_S / 2:
+            if now - audience.told > audience.period_s() - PERIOD_S / 2:
                 due.append(
                     (self._own_report(audience, now), self._called(audience, now))
                 )
@@ -245,6 +253,33 @@
         """
         return list(self._peers.values())
 
+    def newest(self, table):
+        """Return the latest version of a table that any other instance has told.
+
+        Parameters
+        ----------
+        table : str
+            Name of the table.
+
+        Returns
+        -------
+        int
+        """
+        return self._newest.get(table, 0)
+
+    def before(self):
+        """Yield the other instances that come before this one, in a fixed order.
+
+        Yields
+        ------
+        Peer
+        """
+        own = endpoint_code(self.card.name)
+        for code, name in self._before:
+            if code >= own:
+                return
+            yield self._peers[name]
+
     def expire(self, now):
         """Find out which instances have fallen silent.
 
@@ -260,15 +295,17 @@
                 if not peer.silent:
                     peer.heard = now
             return
-        limits_s = {
-            audience.near: max(
-                SILENT_AFTER_S, SILENT_PERIODS * self._period_s(audience)
-            )
-            for audience in self._audiences
-        }
+        if now < self._first_silence:
+            return
+        limits_s = {audience.near: audience.silent_s() for audience in self._audiences}
+        self._first_silence = math.inf
         for peer in self._peers.values():
+            if peer.silent:
+                continue
             limit_s = limits_s[peer.card.region == self.card.region]
-            if not peer.silent and now - peer.heard > limit_s:
+            if now - peer.heard <= limit_s:
+                self._first_silence = min(self._first_silence, peer.heard + limit_s)
+            else:
                 peer.silent = True
                 self._set_open(peer, {})
                 log_event(
@@ -292,34 +329,37 @@
                 state.peer_open += count
                 peer.open[code] = count
 
-    def _receive_next(self):
-        raw, _ = self._sock.recvfrom(MOST_DATAGRAM_BYTES)
-        try:
-            report = decode_report(raw)
-        except msgspec.DecodeError as exc:
-            log_event(LOG, "bad-datagram", "warning", reason=str(exc))
-            return
+    def _add(self, card):
+        peer = self._peers[card.name] = Peer(card)
+        self._count(card, 1)
+        insort(self._before, (endpoint_code(card.name), card.name))
+        return peer
+
+    def _count(self, card, change):
+        near = card.region == self.card.region
+        for audience in self._audiences:
+            if audience.near == near:
+                audience.peers += change
+        self._first_silence = -math.inf
+
+    def _read_pause_s(self):
+        periods_s = [a.period_s() for a in self._audiences if a.peers]
+        pause_s = READ_PART * min(periods_s, default=0.0)
+        return min(PERIOD_S, pause_s) if pause_s > LEAST_READ_S else 0
+
+    def _take(self, report):
         self.receive(report, self._monotonic())
 
     def _report(self):
         now = self._monotonic()
         self.expire(now)
         for report, cards in self.due_reports(now):
-            raw = encode_report(report)
-            for card in cards:
-                self._send(raw, card.host)
-
-    def _send(self, raw, host):
-        try:
-            self._sock.sendto(raw, (host, self._port))
-        except OSError as exc:
-            log_event(LOG, "not-sent", "warning", peer=host, reason=str(exc))
+            self._socket.send(report, cards)
 
     def _own_report(self, audience, now):
         self._sequence += 1
         opened, slow = [], []
-        for state in self._endpoints:
-            code = endpoint_code(state.name)
+        for code, state in self._endpoints.codes():
             if state.own_open:
                 opened.append((code, state.own_open))
             seen = state.own_slowness_since(audience.told)
@@ -337,21 +377,6 @@
             list(audience.held),
         )
 
-    def _period_s(self, audience):
-        peers = sum(
-            (peer.card.region == self.card.region) == audience.near
-            for peer in self._peers.values()
-        )
-        rate = NEAR_PER_S if audience.near else FAR_PER_S
-        return max(PERIOD_S, peers / rate)
-
-
-def _is_newer(report, peer):
-    """Return whether a report is no late one; wall clocks may step, so none is used."""
-    if report.process == peer.process:
-        return report.sequence > peer.sequence
-    return report.process != peer.former_process
-
 
 def create_fleet(card, port, endpoints, monotonic, process):
     """Return a view of the other instances, not yet started.
--- a/quetzalwall/process/knowledge/peer_report.py
+++ b/quetzalwall/process/knowledge/peer_report.py
@@ -1,22 +1,19 @@
 """What instances tell one another, and what one knows of another."""
 
 import math
-from collections import deque
 from typing import NamedTuple
 
 import msgspec
 
 __all__ = [
-    "Audience",
     "Peer",
     "PeerCard",
     "PeerReport",
     "decode_report",
     "encode_report",
+    "is_newer",
 ]
 
-MOST_HELD = 200  # objects named in one report
-
 
 class PeerCard(NamedTuple):
     """Who an instance is.
@@ -75,21 +72,6 @@
     held: list[tuple[int, int]]
 
 
-class Audience:
-    """The peers of the own region, or all others, and what they were told last.
-
-    Parameters
-    ----------
-    near : bool
-        Whether they are those of the own region.
-    """
-
-    def __init__(self, near):
-        self.near = near
-        self.told = -math.inf
-        self.held = deque(maxlen=MOST_HELD)
-
-
 _DECODER = msgspec.msgpack.Decoder(PeerReport)
 _ENCODER = msgspec.msgpack.Encoder()
 
@@ -151,3 +133,22 @@
         It holds none.
     """
     return _DECODER.decode(raw)
+
+
+def is_newer(report, peer):
+    """Return whether a report is no late one; wall clocks may step, so none is used.
+
+    Parameters
+    ----------
+    report : PeerReport
+        The report.
+    peer : Peer
+        What is known of its sender.
+
+    Returns
+    -------
+    bool
+    """
+    if report.process == peer.process:
+        return report.sequence > peer.sequence
+    return report.process != peer.former_process
--- a/quetzalwall/process/knowledge/readers.py
+++ b/quetzalwall/process/knowledge/readers.py
@@ -1,7 +1,5 @@
 """Which instances follow the store, and who knows more than this one."""
 
-from quetzalwall.process.knowledge.endpoint_table import endpoint_code
-
 __all__ = ["ahead_of", "follows_store"]
 
 READERS = 2  # instances of a region that follow the store for the others
@@ -21,18 +19,17 @@
     bool
         In a large fleet the first few of each region that reach the store do.
     """
-    peers = fleet.peers()
-    if len(peers) < ALL_READ or not fleet.reaches_store:
+    if fleet.others() < ALL_READ or not fleet.reaches_store:
         return True
-    own = endpoint_code(fleet.card.name)
-    before = sum(
-        endpoint_code(peer.card.name) < own
-        for peer in peers
-        if peer.card.region == fleet.card.region
-        and not (peer.silent or peer.leaving)
-        and peer.reaches_store
-    )
-    return before < READERS
+    before = 0
+    for peer in fleet.before():
+        if peer.card.region != fleet.card.region:
+            continue
+        if peer.reaches_store and not (peer.silent or peer.leaving):
+            before += 1
+            if before >= READERS:
+                return False
+    return True
 
 
 def ahead_of(fleet, table):
@@ -51,6 +48,8 @@
         Those of the own region first.
     """
     own = fleet.tables.get(table, 0)
+    if fleet.newest(table) <= own:
+        return []
     cards = [
         peer.card
         for peer in fleet.peers()
