Import only the subcommand that runs

Cause: the entry point imported all to make its parser. Now that of the named one is imported; help and wrong names still list all.

--- a/quetzalwall/cli/main.py
+++ b/quetzalwall/cli/main.py
@@ -2,31 +2,22 @@
 
 import argparse
 import sys
+from importlib import import_module
 
-from quetzalwall.cli import (
-    drain_command,
-    front_command,
-    lookup_command,
-    settings_command,
-    shift_command,
-    status_command,
-)
 from quetzalwall.cli.client import CommandError
 
 __all__ = ["create_parser", "main"]
 
-COMMANDS = (
-    front_command,
-    settings_command,
-    shift_command,
-    drain_command,
-    status_command,
-    lookup_command,
-)
+COMMANDS = ("front", "settings", "shift", "drain", "status", "lookup")
 
 
-def create_parser():
-    """Return the parser of all subcommands.
+def create_parser(names=COMMANDS):
+    """Return the parser of subcommands.
+
+    Parameters
+    ----------
+    names : sequence of str, default=COMMANDS
+        The subcommands; only what they need is imported.
 
     Returns
     -------
@@ -36,8 +27,8 @@
         prog="quetzalwall", description="Global traffic steering."
     )
     commands = parser.add_subparsers(dest="command", required=True)
-    for module in COMMANDS:
-        module.add_parser(commands)
+    for name in names:
+        import_module(f"quetzalwall.cli.{name}_command").add_parser(commands)
     return parser
 
 
@@ -55,7 +46,10 @@
         Exit status: 0 for success, 1 for failure, 2 for wrong arguments or settings,
         3 for a conflict, 4 if the outcome is not known or not everywhere yet.
     """
-    args = create_parser().parse_args(argv)
+    given = sys.argv[1:] if argv is None else argv
+    # A daemon's start costs less processor time without the other subcommands.
+    named = [name for name in COMMANDS if given[:1] == [name]]
+    args = create_parser(named or COMMANDS).parse_args(argv)
     try:
         return args.run(args)
     except CommandError as exc:
