--- a/quetzalwall/process/front.py
+++ b/quetzalwall/process/front.py
@@ -165,6 +165,7 @@
         }
         self._servers = {}
         self._tasks = []
+        self._forgotten = 0
 
     @property
     def in_flight(self):
@@ -313,9 +314,12 @@
 
     def _tick(self):
         for state in self.endpoints:
-            state.client.close_stale()
+            if state.client.idle_count():
+                state.client.close_stale()
         self.limits.shifts.step()
-        self.limits.cold.forget(lambda name: self.endpoints.get(name) is not None)
+        if self.endpoints.forgotten != self._forgotten:
+            self._forgotten = self.endpoints.forgotten
+            self.limits.cold.forget(lambda name: self.endpoints.get(name) is not None)
 
     def _make_room(self):
         for name, server in self._servers.items():
--- a/quetzalwall/process/knowledge/endpoint_table.py
+++ b/quetzalwall/process/knowledge/endpoint_table.py
@@ -35,6 +35,8 @@
         Failure domains whose endpoints get nothing.
     connections : EndpointConnections
         Counts the connections to all of them.
+    forgotten : int
+        Grows with each endpoint that is forgotten.
     """
 
     def __init__(self, domains, read_facts, monotonic):
@@ -49,6 +51,8 @@
         self._usable = {}
         self._orders = OrderedDict()
         self._codes = {}
+        self._lapsed = set()
+        self.forgotten = 0
 
     def __len__(self):
         return len(self._states)
@@ -84,6 +88,15 @@
         """
         return self._codes.get(code)
 
+    def codes(self):
+        """Return the endpoints with their short codes.
+
+        Returns
+        -------
+        iterable of (int, EndpointState)
+        """
+        return self._codes.items()
+
     def of_service(self, service):
         """Return the endpoints of a service that may get new requests.
 
@@ -212,6 +225,7 @@
             if lapse_s is None:
                 lapse_s = RETURN_GRACE_S
             state.lapsed_until = self._monotonic() + lapse_s
+            self._lapsed.add(name)
             _log_change("lapsed", state.entry)
             return
         self._drop(state)
@@ -236,9 +250,14 @@
 
     def drop_lapsed(self):
         """Forget endpoints whose entries did not return with the store."""
+        if not self._lapsed:
+            return
         now = self._monotonic()
-        for state in list(self._states.values()):
-            if state.lapsed_until is not None and now >= state.lapsed_until:
+        for name in list(self._lapsed):
+            state = self._states.get(name)
+            if state is None or state.lapsed_until is None:
+                self._lapsed.discard(name)
+            elif now >= state.lapsed_until:
                 self._drop(state)
 
     def evacuate(self, domains, cold_s):
@@ -297,6 +316,7 @@
     def _drop(self, state):
         state.present = False
         state.client.close()
+        self.forgotten += 1
         self._states.pop(state.name, None)
         self._codes.pop(endpoint_code(state.name), None)
         self._take_out(state)
--- a/quetzalwall/process/knowledge/readers.py
+++ b/quetzalwall/process/knowledge/readers.py
@@ -1,8 +1,6 @@
 """Which instances follow the store, and who knows more than this one."""
 
-from quetzalwall.process.knowledge.endpoint_table import endpoint_code
-
-__all__ = ["ahead_of", "follows_store"]
+__all__ = ["ahead_of", "follows_store", "known_up_to"]
 
 READERS = 2  # instances of a region that follow the store for the others
 ALL_READ = 8  # instances up to which each follows the store itself
@@ -21,18 +19,35 @@
     bool
         In a large fleet the first few of each region that reach the store do.
     """
-    peers = fleet.peers()
-    if len(peers) < ALL_READ or not fleet.reaches_store:
+    if fleet.others() < ALL_READ or not fleet.reaches_store:
         return True
-    own = endpoint_code(fleet.card.name)
-    before = sum(
-        endpoint_code(peer.card.name) < own
-        for peer in peers
-        if peer.card.region == fleet.card.region
-        and not (peer.silent or peer.leaving)
-        and peer.reaches_store
-    )
-    return before < READERS
+    before = 0
+    for peer in fleet.before():
+        if peer.card.region != fleet.card.region:
+            continue
+        if peer.reaches_store and not (peer.silent or peer.leaving):
+            before += 1
+            if before >= READERS:
+                return False
+    return True
+
+
+def known_up_to(fleet, table):
+    """Return the version of the store up to which this instance knows a table.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        The instances.
+    table : str
+        Name of the table.
+
+    Returns
+    -------
+    int
+        0 if nothing is known; it may be later than the last change known.
+    """
+    return max(fleet.tables.get(table, 0), fleet.read_up_to.get(table, 0))
 
 
 def ahead_of(fleet, table):
@@ -50,7 +65,9 @@
     list of PeerCard
         Those of the own region first.
     """
-    own = fleet.known(table)
+    own = known_up_to(fleet, table)
+    if fleet.newest(table) <= own:
+        return []
     cards = [
         peer.card
         for peer in fleet.peers()
--- a/quetzalwall/process/knowledge/store_watch.py
+++ b/quetzalwall/process/knowledge/store_watch.py
@@ -7,7 +7,11 @@
 from quetzalwall.exceptions import StoreError
 from quetzalwall.logs import get_logger, log_event
 from quetzalwall.platform.store import HistoryGone
-from quetzalwall.process.knowledge.readers import ahead_of, follows_store
+from quetzalwall.process.knowledge.readers import (
+    ahead_of,
+    follows_store,
+    known_up_to,
+)
 from quetzalwall.process.tasks import repeat
 
 __all__ = ["TableWatch", "create_table_watch"]
@@ -139,7 +143,7 @@
             self._take_from_peer()
 
     def _take_from_peer(self):
-        known = self._fleet.known(self._table)
+        known = known_up_to(self._fleet, self._table)
         found = self._ask_peer(known if self.loaded else 0)
         if found is None:
             return
--- a/quetzalwall/process/knowledge/tests/test_restarted_instance.py
+++ b/quetzalwall/process/knowledge/tests/test_restarted_instance.py
@@ -10,7 +10,7 @@
 from quetzalwall.process.knowledge.fleet import create_fleet
 from quetzalwall.process.knowledge.knowledge import create_knowledge, read_exported
 from quetzalwall.process.knowledge.peer_report import PeerCard, PeerReport
-from quetzalwall.process.knowledge.readers import ahead_of
+from quetzalwall.process.knowledge.readers import ahead_of, known_up_to
 from quetzalwall.tests.platform_fixtures import DOMAINS, ManualClock, entry_body
 
 TABLE = "servers"
@@ -36,7 +36,7 @@
 
 def ask(asker, told):
     """Have one instance take over what another one knows, as over the network."""
-    body = told.export(TABLE, asker.fleet.known(TABLE))
+    body = told.export(TABLE, known_up_to(asker.fleet, TABLE))
     rows, whole = read_exported(json.loads(json.dumps(body)), "told")
     asker.apply(TABLE, rows, whole, False)
 
@@ -93,5 +93,5 @@
     take(asker, 20, row(2, 9), whole=True)
     take(told, 20, row(2, 9), whole=True)
     take(told, 22, row(3, 22))
-    body = told.export(TABLE, asker.fleet.known(TABLE))
+    body = told.export(TABLE, known_up_to(asker.fleet, TABLE))
     assert not body["whole"] and list(body["rows"]) == ["ep-3"]
