Compile the own code in the build

Cause: pip compiles the libraries, nobody the checkout. The build does it now for each Python that it finds; where it can't, nothing changes.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -44,6 +44,7 @@
 AT_FDCWD, RENAME_EXCHANGE = -100, 2  # of renameat2(2)
 NO_EXCHANGE = (errno.EINVAL, errno.ENOSYS, errno.EPERM)  # not on this file system
 READABLE, SEARCHABLE = 0o444, 0o555  # by any user, of files and of folders
+PACKAGE = "quetzalwall"
 NAME = re.compile(r"[A-Za-z0-9_.-]+")
 ASK = (
     "import sys; from importlib.machinery import EXTENSION_SUFFIXES as s; "
@@ -96,6 +97,7 @@
         _install_lacking(root, target, others, requirements, needed=False)
     except OSError as exc:
         _say(f"libraries for other releases of Python are left as they are: {exc}")
+    _compile_own(root, [own, *others])
 
 
 def read_requirements(root):
@@ -246,6 +248,18 @@
     return done.stderr.strip() or "failed" if done.returncode else None
 
 
+def _compile_own(root, interfaces):
+    """Compile the own code; where that fails, each start of an instance does it."""
+    for python in filter(None, (interface.python for interface in interfaces)):
+        subprocess.run(
+            [python, "-m", "compileall", "-qq", "-x", "/tests/", root / PACKAGE],
+            stdin=subprocess.DEVNULL,
+            stdout=subprocess.DEVNULL,
+            stderr=subprocess.DEVNULL,
+            check=False,
+        )
+
+
 def _replace(root, target, interface, wanted, requirements, attempts):
     """Install the libraries and put them in the place of former ones."""
     fresh = Path(tempfile.mkdtemp(prefix="new-", dir=target))
