Start the instances of the test as a user without a name

"The system did not start from its deploy file": on each start as a user that no account has, with the variables that the platform hands on, ends with KeyError, "uid not found: 54321", exit status 1 (run with Debian's Python 3.11.2): `--author` asked for the user's name whatever the subcommand was. The test of another user took one that has a name.

--- a/deploy/tests/test_start.py
+++ b/deploy/tests/test_start.py
@@ -20,7 +20,7 @@
 ROOT = Path(__file__).resolve().parent.parent.parent
 PLACEHOLDER = re.compile(r"\{\{([\w.]+)(\|json)?\}\}")
 OLDEST = (3, 11)
-NOBODY = 65534  # user and group
+UNNAMED = 54321  # user and group that no account has
 SEARCHABLE = 0o755
 KEPT = ("PATH", "HOME", "LANG")
 STARTED_S = 20.0  # on a busy machine
@@ -156,11 +156,11 @@
     return False
 
 
-def become_nobody():
+def become_unnamed():
     if os.geteuid() == 0:
         os.setgroups([])
-        os.setgid(NOBODY)
-        os.setuid(NOBODY)
+        os.setgid(UNNAMED)
+        os.setuid(UNNAMED)
 
 
 # "The system did not start from its deploy file": built by one Python, run by another.
@@ -174,13 +174,14 @@
             assert process.wait(STARTED_S) == 0, python
 
 
-# The same failure where the instances run as a user who owns nothing and can't write.
-def test_another_user_starts_from_the_build():
+# The same failure where the instances run as a user who has no name, owns nothing and
+# can't write: each start asked for the user's name.
+def test_a_user_without_a_name_starts_from_the_build():
     python = "/usr/bin/python3"  # a home folder may be closed to this user
     if not os.access(python, os.X_OK) or (release_of(python) or ()) < OLDEST:
         python = interpreters()[0]
     root = built_checkout()
-    with instance(root, python, become_nobody) as (process, health, output):
+    with instance(root, python, become_unnamed) as (process, health, output):
         assert answers(health, process, output)
         process.terminate()
         assert process.wait(STARTED_S) == 0
