Show that a long pause leaves an instance alone with all limits

What callers would see: an instance that was frozen for longer than instances are remembered for (30 s) counts itself as the only one from then on. It takes the whole of each limit that all share: the rate of cold endpoints, the retries, the caps of regions.

Cause: the list of those who share the limits is made when it is due. Made after the pause and before the pause is noticed, it holds this instance alone, and nothing has it made anew: what notices the pause sets the others to "heard now", after which each report looks like one of an instance that is listed.

Evidence: test_the_others_share_limits_again_after_a_long_pause_of_this_instance fails, 1 instance instead of 2.

--- a/quetzalwall/process/knowledge/tests/test_members.py
+++ b/quetzalwall/process/knowledge/tests/test_members.py
@@ -45,3 +45,23 @@
         assert {card.name: card for card in fleet.cards()[1:]} == {
             n: cards[n] for n in counted
         }
+
+
+# The same after a pause of this instance, as a freeze, that was longer than instances
+# are remembered for: it kept counting itself alone, and took each limit for itself.
+def test_the_others_share_limits_again_after_a_long_pause_of_this_instance():
+    rng, clock = random.Random(7), ManualClock()
+    fleet, card = create(clock), card_of("front-1", rng)
+
+    def hear(sequence):
+        clock.now += 0.1
+        fleet.expire(clock.now)
+        report = PeerReport(card, 5, sequence, False, True, {}, [], [], [])
+        fleet.receive(report, clock.now)
+
+    hear(1)
+    assert fleet.size() == 2
+    clock.now += FORGET_AFTER_S + 1
+    fleet.size()  # a request is served before the pause is noticed
+    hear(2)
+    assert fleet.size() == 2
