List who shares the limits anew after a pause of this instance

Who notices the pause sets when the others were heard, so it also has the list made anew.

The tests of the quiet work and of the list against a plain count pass as before.

--- a/quetzalwall/process/knowledge/fleet.py
+++ b/quetzalwall/process/knowledge/fleet.py
@@ -295,6 +295,7 @@
             for peer in self._peers.values():
                 if not peer.silent:
                     peer.heard = now
+            self._members.clear()
             return
         if now < self._first_silence:
             return
