Tell who gets a whole table which entries may come back

A whole table is told together with the entries that have lapsed and are awaited, each with the time left, as changes are.

The eleven test modules of the package pass.

--- a/quetzalwall/process/knowledge/knowledge.py
+++ b/quetzalwall/process/knowledge/knowledge.py
@@ -155,11 +155,12 @@
             for key, change in self._rows[table].items()
             if change.version > after
         }
-        removed = {
-            key: [version, lapsed and self.endpoints.lapse_s(key)]
-            for key, (version, lapsed) in self._removed[table].items()
-            if version > after > 0
-        }
+        removed = {}
+        for key, (version, lapsed) in self._removed[table].items():
+            left_s = self.endpoints.lapse_s(key) if lapsed else 0.0
+            # A whole table lacks what is gone; what may come back has to be named.
+            if version > after and (after > 0 or left_s > 0):
+                removed[key] = [version, left_s]
         return {
             "version": self._versions[table],
             "whole": after == 0,
