Show that a large registry is taken over in parts between which nothing runs

What callers would see: requests, time limits and signals wait until the whole registry is taken over; an instance that asks meanwhile forgets endpoints that may come back.

Cause: between two parts the task sleeps for 0 s. The event loop then goes on with what is ready to run, up to 50 such turns, before it looks at time or at any connection; 3,000 endpoints are 15 turns. And rows are told to others as soon as they are kept, before the endpoints follow them.

--- a/quetzalwall/process/knowledge/tests/test_large_registry.py
+++ b/quetzalwall/process/knowledge/tests/test_large_registry.py
@@ -5,9 +5,12 @@
 
 from quetzalwall.platform.headers import answer_facts
 from quetzalwall.platform.store import RowChange, Rows
-from quetzalwall.process.knowledge.endpoint_table import create_endpoint_table
+from quetzalwall.process.knowledge.endpoint_table import (
+    RETURN_GRACE_S,
+    create_endpoint_table,
+)
 from quetzalwall.process.knowledge.fleet import create_fleet
-from quetzalwall.process.knowledge.knowledge import create_knowledge
+from quetzalwall.process.knowledge.knowledge import ROWS_AT_ONCE, create_knowledge
 from quetzalwall.process.knowledge.peer_report import PeerCard
 from quetzalwall.process.self_watch import HELD_S
 from quetzalwall.tests.platform_fixtures import (
@@ -85,3 +88,38 @@
     knowledge.apply("servers", rows_of(LARGE, 1, 1), True, False)
     task.join()
     assert len(seen) > 1 and len(knowledge.endpoints) == LARGE
+
+
+# Between the parts only tasks that wait for nothing ran: no timer, and no connection or
+# datagram, was looked at until the whole registry was taken over.
+def test_what_waits_for_time_or_others_runs_while_a_registry_is_taken_over():
+    knowledge, seen = create(), []
+
+    def look():
+        while len(knowledge.endpoints) < LARGE:
+            seen.append(len(knowledge.endpoints))
+            gevent.sleep(0.0001)
+
+    task = gevent.spawn(look)
+    gevent.sleep(0)
+    knowledge.apply("servers", rows_of(LARGE, 1, 1), True, False)
+    task.join()
+    assert len(set(seen)) > LARGE / ROWS_AT_ONCE / 2, seen
+
+
+# An instance told others that entries were gone which it was about to take for lapsed.
+def test_an_instance_tells_nothing_of_a_registry_that_is_half_taken_over():
+    knowledge, told = create(), []
+    knowledge.apply("servers", rows_of(LARGE // 2, 1, 1), True, False)
+
+    def ask():
+        for _ in range(3):
+            told.append(knowledge.export("servers", 1))
+            gevent.sleep(0)
+
+    task = gevent.spawn(ask)
+    knowledge.apply("servers", Rows([], 2), True, True)
+    task.join()
+    told.append(knowledge.export("servers", 1))
+    left = [[s for _, s in body["removed"].values()] for body in told if body]
+    assert left and all(s == [RETURN_GRACE_S] * (LARGE // 2) for s in left)
