Let timers and connections run while a large registry is taken over

Between two parts the task sleeps for the least time that has the event loop look at time and connections, as reads do. Until the whole registry is taken over it is not told to others; they ask again or ask another.

--- a/quetzalwall/process/knowledge/knowledge.py
+++ b/quetzalwall/process/knowledge/knowledge.py
@@ -4,6 +4,7 @@
 
 import gevent
 
+from quetzalwall.connection.fair_socket import SHARE_PAUSE_S
 from quetzalwall.exceptions import PeerError, SettingsError
 from quetzalwall.logs import get_logger, log_event
 from quetzalwall.platform.rows import (
@@ -67,6 +68,7 @@
         self._forgotten = dict.fromkeys(tables, 0)
         self._versions = {}
         self._taken = set()
+        self._taking = set()
 
     def configuration(self):
         """Return the configuration in force, or None.
@@ -126,7 +128,11 @@
         if table == OPERATOR_TABLE:
             self._apply_operator(changes)
         elif table == ENDPOINTS_TABLE:
-            self._apply_endpoints(changes, lapsed, rows.lapse_s)
+            self._taking.add(table)
+            try:
+                self._apply_endpoints(changes, lapsed, rows.lapse_s)
+            finally:
+                self._taking.discard(table)
         else:
             self._apply_tree()
         self._taken.add(table)
@@ -144,9 +150,9 @@
         Returns
         -------
         dict or None
-            None if this instance has not read it.
+            None if this instance has not read it, or has not taken it over yet.
         """
-        if table not in self._versions:
+        if table not in self._versions or table in self._taking:
             return None
         if after < self._forgotten[table]:
             after = 0
@@ -248,7 +254,7 @@
         first = ENDPOINTS_TABLE not in self._taken
         for number, change in enumerate(changes, 1):
             if number % ROWS_AT_ONCE == 0:
-                gevent.sleep(0)
+                gevent.sleep(SHARE_PAUSE_S)
             if change.value is None:
                 self.endpoints.remove(change.key, change.key in lapsed, lapse_s)
                 continue
