--- a/quetzalwall/process/front_metrics.py
+++ b/quetzalwall/process/front_metrics.py
@@ -77,7 +77,9 @@
         """
         for key in list(self._children):
             metric, labels = key
-            if metric is not self._failures and labels[0] not in {"", *routes}:
+            if metric is self._failures or not labels[0]:
+                continue
+            if labels[0] not in routes:
                 del self._children[key]
                 metric.remove(*labels)
 
