Find the route of a request by its prefix, not by all routes

The routes of a host are kept by prefix as well, and a path is looked up once for each length that a prefix has, the longest first. What is found is the same.

Evidence, processor time to find an early route: 100 routes 25 us before, 1.0 us after; 300 routes 70 us and 1.0 us; 3,000 routes 693 us and 1.0 us. A trial against the list gone through in order, 20,000 random hosts with 0 to 7 routes of nested prefixes and methods, 100,000 paths of which 39,319 have a route: no difference. The tests of rows (36), settings (10), blocks (6), product (22) and front (32) pass.

--- a/quetzalwall/platform/rows.py
+++ b/quetzalwall/platform/rows.py
@@ -10,6 +10,7 @@
 from quetzalwall.version.model import (
     Configuration,
     EndpointEntry,
+    HostRoutes,
     Limits,
     Route,
     Service,
@@ -102,8 +103,7 @@
         if unknown:
             raise RowError(f"{path}: unknown service {unknown[0]!r}", "decode row")
         hosts.setdefault(route.host, []).append(route)
-    for routes in hosts.values():
-        routes.sort(key=lambda route: len(route.prefix), reverse=True)
+    hosts = {host: HostRoutes(routes) for host, routes in hosts.items()}
     limits = _guard("/limits", _limits, body.get("limits") or {})
     version = _guard("/version", _version, body.get("version"))
     return Configuration(version, hosts, services, limits)
--- a/quetzalwall/version/compile.py
+++ b/quetzalwall/version/compile.py
@@ -5,6 +5,7 @@
 from quetzalwall.version.model import (
     Configuration,
     EndpointEntry,
+    HostRoutes,
     Limits,
     Route,
     Service,
@@ -80,8 +81,7 @@
 
 
 def _routes(service, spec, classes):
-    routes = [_route(service, route, classes) for route in spec["routes"]]
-    return sorted(routes, key=lambda route: len(route.prefix), reverse=True)
+    return HostRoutes(_route(service, route, classes) for route in spec["routes"])
 
 
 def _route(service, spec, classes):
--- a/quetzalwall/version/model.py
+++ b/quetzalwall/version/model.py
@@ -5,6 +5,7 @@
 __all__ = [
     "Configuration",
     "EndpointEntry",
+    "HostRoutes",
     "Limits",
     "Route",
     "Service",
@@ -96,6 +97,43 @@
     methods: tuple = ()
 
 
+class HostRoutes(list):
+    """The routes of one host, longest prefix first.
+
+    Parameters
+    ----------
+    routes : iterable of Route
+        The routes, in any order.
+    """
+
+    def __init__(self, routes):
+        super().__init__(sorted(routes, key=lambda r: len(r.prefix), reverse=True))
+        self._by_prefix = {}
+        for route in self:
+            self._by_prefix.setdefault(route.prefix, []).append(route)
+        self._lengths = sorted({len(p) for p in self._by_prefix}, reverse=True)
+
+    def find(self, path, method):
+        """Return the route with the longest prefix that begins a path, or None.
+
+        Prefixes of one length are looked up at once: there may be thousands.
+
+        Parameters
+        ----------
+        path, method : str
+            As of `find_route`.
+
+        Returns
+        -------
+        Route or None
+        """
+        for length in self._lengths:
+            for route in self._by_prefix.get(path[:length], ()):
+                if not route.methods or method in route.methods:
+                    return route
+        return None
+
+
 class Shift(NamedTuple):
     """A planned move of a service's traffic from one region to another.
 
@@ -132,8 +170,8 @@
     ----------
     version : int
         Grows with each change.
-    hosts : dict of str to list of Route
-        Routes of each host, longest prefix first.
+    hosts : dict of str to HostRoutes
+        Routes of each host.
     services : dict of str to Service
         Services by name.
     limits : Limits
@@ -203,8 +241,5 @@
     -------
     Route or None
     """
-    for route in cfg.hosts.get(host, ()):
-        taken = not route.methods or method in route.methods
-        if taken and path.startswith(route.prefix):
-            return route
-    return None
+    routes = cfg.hosts.get(host)
+    return routes.find(path, method) if routes else None
