--- a/quetzalwall/platform/headers.py
+++ b/quetzalwall/platform/headers.py
@@ -14,6 +14,7 @@
 from quetzalwall.request.whole_answer import Answer, refusal
 
 __all__ = [
+    "MOST_ADDRESSES",
     "PLATFORM_DIALECT",
     "READY_PATH",
     "answer_facts",
@@ -32,6 +33,7 @@
 OBJECT_COOKIE = "X-Quetzalwall-Affinity-Key"
 OWN = frozenset((DEADLINE.lower(), EXPECT.lower()))
 READY_PATH = "/ready"
+MOST_ADDRESSES = 64  # in the answer of a look-up
 STAMP = "X-Quetzalwall-Server-Stamp"
 MISDIRECTED = 421
 SUCCESS = range(200, 300)
--- a/quetzalwall/process/front_interfaces.py
+++ b/quetzalwall/process/front_interfaces.py
@@ -11,7 +11,12 @@
     read_json,
 )
 from quetzalwall.logs import get_logger, log_event
-from quetzalwall.platform.headers import READY_PATH, lookup_body, lookup_place
+from quetzalwall.platform.headers import (
+    MOST_ADDRESSES,
+    READY_PATH,
+    lookup_body,
+    lookup_place,
+)
 from quetzalwall.process.memory_plan import most_connections
 from quetzalwall.process.status import instance_status
 from quetzalwall.request.lookup import draw_by_link, order_instances
@@ -152,7 +157,10 @@
 def _instances_for(front, region):
     live = front.fleet.live()
     near = [card for card in live if card.region == region] or live
-    return draw_by_link(near, LOOKUP_ANSWERS, front.rng)
+    chosen = draw_by_link(near, LOOKUP_ANSWERS, front.rng)
+    if len(chosen) > MOST_ADDRESSES:
+        return front.rng.sample(chosen, MOST_ADDRESSES)
+    return chosen
 
 
 def _export(front, environ, start_response):
