Name no instance in look-ups that has not reported for 5.5 s

For all limits that instances share, one that is not heard counts as before, since it may run. Callers are sent elsewhere after 5.5 s, however many instances there are: longer than any reports at 300 (5 s), and less than the 7 s after which the platform counts it. After a pause of its own an instance leaves nobody out.

From 330 on in three regions those of other regions are left out between two reports now and then, which only look-ups for a region other than the own one show.

--- a/quetzalwall/process/knowledge/audience.py
+++ b/quetzalwall/process/knowledge/audience.py
@@ -3,11 +3,12 @@
 import math
 from collections import deque
 
-__all__ = ["PERIOD_S", "SILENT_AFTER_S", "Audience"]
+__all__ = ["NAMED_S", "PERIOD_S", "SILENT_AFTER_S", "Audience"]
 
 PERIOD_S = 0.1
 SILENT_AFTER_S = 1.5
 SILENT_PERIODS = 6
+NAMED_S = 5.5  # without a report, callers are sent elsewhere; it may run all the same
 MOST_HELD = 200  # objects named in one report
 
 
--- a/quetzalwall/process/knowledge/fleet.py
+++ b/quetzalwall/process/knowledge/fleet.py
@@ -8,7 +8,12 @@
 from bisect import insort
 
 from quetzalwall.logs import get_logger, log_event
-from quetzalwall.process.knowledge.audience import PERIOD_S, SILENT_AFTER_S, Audience
+from quetzalwall.process.knowledge.audience import (
+    NAMED_S,
+    PERIOD_S,
+    SILENT_AFTER_S,
+    Audience,
+)
 from quetzalwall.process.knowledge.endpoint_table import endpoint_code
 from quetzalwall.process.knowledge.members import Members, counts
 from quetzalwall.process.knowledge.peer_report import Peer, PeerReport, is_newer
@@ -120,11 +125,9 @@
         -------
         list of PeerCard
         """
-        cards = [
-            peer.card
-            for peer in self._peers.values()
-            if not peer.silent and not peer.leaving
-        ]
+        then = (self._looked or 0.0) - NAMED_S
+        found = self._peers.values()
+        cards = [p.card for p in found if not (p.silent or p.leaving or p.heard < then)]
         return cards if self.leaving else [self.card, *cards]
 
     def size(self):
