Bound the time of a whole build, beside that of each call of pip

Installing ends 660 s after the build's start, for its own Python and for the others together; what is there by then is kept.

The tests of the build (9), registry (2), installed libraries (2), settings of pip (2) and other Pythons (2) pass. test_start was not run.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -14,6 +14,7 @@
 import ctypes
 import errno
 import fcntl
+import math
 import os
 import platform
 import re
@@ -38,7 +39,8 @@
 ATTEMPTS = 3  # a registry may fail for a moment
 PAUSE_S = 5.0
 PROBES = 4  # at once
-INSTALL_LIMIT_S = 150.0  # of one attempt; the platform ends a build after 15 min
+INSTALL_LIMIT_S = 150.0  # of one attempt
+LIMIT_S = 660.0  # of all installing; the platform ends a build after 15 min
 # A user's settings of pip that move an installation elsewhere or have none made.
 PIP_OFF = ("PIP_USER", "PIP_REQUIRE_VIRTUALENV", "PIP_DRY_RUN", "PIP_NO_DEPS")
 PIP_UNSET = ("PIP_TARGET", "PIP_PREFIX", "PIP_ROOT")
@@ -68,11 +70,12 @@
     """
     requirements = read_requirements(root)
     target = root / "target" / "libraries"
+    until = time.monotonic() + LIMIT_S
     own, *others = find_interfaces()
     os.umask(0o022)  # the instances may run as another user
-    _install_lacking(root, target, [own], requirements)
+    _install_lacking(root, target, [own], requirements, until)
     try:
-        _install_lacking(root, target, others, requirements, needed=False)
+        _install_lacking(root, target, others, requirements, until, needed=False)
     except OSError as exc:
         _say(f"libraries for other releases of Python are left as they are: {exc}")
 
@@ -108,7 +111,7 @@
         yield
 
 
-def _install_lacking(root, target, interfaces, requirements, needed=True):
+def _install_lacking(root, target, interfaces, requirements, until, needed=True):
     """Install the libraries of those interfaces that lack them."""
     wanted = _fingerprint(root, requirements)
 
@@ -124,7 +127,7 @@
         _say(f"installing for {interface.tag}: {reason}")
         try:
             attempts = ATTEMPTS if needed else 1
-            _replace(root, target, interface, wanted, requirements, attempts)
+            _replace(root, target, interface, wanted, requirements, attempts, until)
         except (BuildError, OSError) as exc:
             if needed:
                 raise
@@ -183,11 +186,11 @@
     return done.stderr.strip() or "failed" if done.returncode else None
 
 
-def _replace(root, target, interface, wanted, requirements, attempts):
+def _replace(root, target, interface, wanted, requirements, attempts, until):
     """Install the libraries and put them in the place of former ones."""
     fresh = Path(tempfile.mkdtemp(prefix="new-", dir=target))
     try:
-        _install(root, fresh, interface, requirements, attempts)
+        _install(root, fresh, interface, requirements, attempts, until)
         failure = _import_failure(interface, fresh, requirements, keep=True)
         if failure is not None:
             raise BuildError(f"an installed library does not work: {failure}")
@@ -198,19 +201,19 @@
         shutil.rmtree(fresh, ignore_errors=True)
 
 
-def _install(root, folder, interface, requirements, attempts):
+def _install(root, folder, interface, requirements, attempts, until):
     command = _pip_command(folder, interface, requirements)
     pins = ["-c", str(root / CONSTRAINTS)]
     for attempt in range(1, attempts + 1):
-        if _succeeds([*command, *pins]):
+        if _succeeds([*command, *pins], until):
             return
         _say(f"installation {attempt} of {attempts} failed for {interface.tag}")
         _empty(folder)
         if attempt < attempts:
             time.sleep(PAUSE_S)
-    served = _served_pins(root)
+    served = _served_pins(root, until)
     (folder / CONSTRAINTS).write_text("\n".join(served))
-    if served and _succeeds([*command, "-c", str(folder / CONSTRAINTS)]):
+    if served and _succeeds([*command, "-c", str(folder / CONSTRAINTS)], until):
         return
     message = "the libraries could not be installed"
     if not _succeeds([sys.executable, "-c", "import pip"]):
@@ -218,7 +221,7 @@
     raise BuildError(message)
 
 
-def _served_pins(root):
+def _served_pins(root, until):
     """Return the pins that the registry serves; say which it does not.
 
     For the others any release in the declared range has to do, or there is no start.
@@ -232,7 +235,8 @@
             [*command, "--target", f"{folder}/{number}", pin]
             for number, pin in enumerate(pins)
         ]
-        found = dict(zip(pins, pool.map(_succeeds, commands), strict=True))
+        untils = [until] * len(pins)
+        found = dict(zip(pins, pool.map(_succeeds, commands, untils), strict=True))
     lacking = [pin for pin, served in found.items() if not served]
     _say(f"not served, so that others of their range are taken: {' '.join(lacking)}")
     return [pin for pin, served in found.items() if served]
@@ -269,12 +273,15 @@
     )
 
 
-def _succeeds(command):
+def _succeeds(command, until=math.inf):
+    limit_s = min(INSTALL_LIMIT_S, until - time.monotonic())
+    if limit_s <= 0:
+        return False
     environ = {k: v for k, v in os.environ.items() if k not in PIP_UNSET}
     environ |= dict.fromkeys(PIP_OFF, "0")
     try:
         done = subprocess.run(
-            command, stdin=subprocess.DEVNULL, timeout=INSTALL_LIMIT_S, env=environ
+            command, stdin=subprocess.DEVNULL, timeout=limit_s, env=environ
         )
     except subprocess.TimeoutExpired:
         return False
