--- a/quetzalwall/connection/tests/test_answer_parser.py
+++ b/quetzalwall/connection/tests/test_answer_parser.py
@@ -1,7 +1,7 @@
 """Answers that are cut, come in pieces, or say two things about their own end."""
 
 from geventhttpclient.response import HTTPParseError
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 from nose2.tools import params
 
@@ -61,6 +61,7 @@
 
 
 # A head that stops must not become a whole answer with an empty or short body.
+@settings(deadline=None)
 @given(answers())
 def test_no_cut_gives_a_whole_answer(drawn):
     method, head, rest, framing = drawn
@@ -74,6 +75,7 @@
         assert parsed([raw[i : i + 1] for i in range(cut)], method) == []
 
 
+@settings(deadline=None)
 @given(answers(), st.lists(st.integers(1, 30), min_size=1, max_size=200))
 def test_pieces_give_what_the_whole_gives(drawn, sizes):
     method, head, rest, _ = drawn
