--- a/quetzalwall/process/limits/tests/test_shifting.py
+++ b/quetzalwall/process/limits/tests/test_shifting.py
@@ -2,7 +2,7 @@
 
 import random
 
-from hypothesis import given
+from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
 from quetzalwall.platform.headers import answer_facts
@@ -57,6 +57,7 @@
             side.shifts.step()
 
 
+@settings(suppress_health_check=[HealthCheck.too_slow])
 @given(st.integers(0, 1000), st.sets(st.text("abc", min_size=1), min_size=1))
 def test_parts_of_a_limit_add_up(limit, names):
     names = sorted(names)
