Let a silent connection of the soak stay silent

The proxy before each instance's store kept the limit of its own connect, 2 s, for reading: a wait for changes that nothing answered was closed after 2 s, in calm too. So 'cut from store' was a reset after 2 s at the latest, and no run of the soak ever had an instance whose call hung.

Evidence: three instances behind such proxies log 'connection closed' 2.2 s after all open connections were silenced; with this change they log nothing for 7 s. The proxy can now also silence the open connections while new ones work.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -7,6 +7,7 @@
 __all__ = ["Proxy", "create_proxy"]
 
 BLOCK_BYTES = 64 * 1024
+CONNECT_S = 2.0
 
 
 class Proxy:
@@ -28,6 +29,7 @@
         self.delay_s = 0.0
         self._target = target
         self._pairs = set()
+        self._silenced = set()
         self.server = gevent.server.StreamServer((address, 0), self._serve)
 
     @property
@@ -50,31 +52,37 @@
             for sock in pair:
                 sock.close()
 
+    def silence(self):
+        """Let nothing pass on the open connections any more; new ones work."""
+        self._silenced |= self._pairs
+
     def _serve(self, sock, address):
         if self.fault == "refuse":
             return
         try:
-            onward = gevent.socket.create_connection(self._target, 2.0)
+            onward = gevent.socket.create_connection(self._target, CONNECT_S)
         except OSError:
             return
+        onward.settimeout(None)  # a wait for an answer has no end here
         pair = (sock, onward)
         self._pairs.add(pair)
         tasks = [
-            gevent.spawn(self._copy, sock, onward, "to"),
-            gevent.spawn(self._copy, onward, sock, "from"),
+            gevent.spawn(self._copy, pair, sock, onward, "to"),
+            gevent.spawn(self._copy, pair, onward, sock, "from"),
         ]
         gevent.joinall(tasks, count=1)
         gevent.killall(tasks)
         self._pairs.discard(pair)
+        self._silenced.discard(pair)
         for one in pair:
             one.close()
 
-    def _copy(self, source, sink, way):
+    def _copy(self, pair, source, sink, way):
         try:
             while data := source.recv(BLOCK_BYTES):
                 if self.delay_s:
                     gevent.sleep(self.delay_s)
-                while self.fault in ("silent", way):
+                while self.fault in ("silent", way) or pair in self._silenced:
                     gevent.sleep(0.05)
                 sink.sendall(data)
         except OSError:
