Say what an instance does while others know a newer configuration

Callers handled by an older configuration could be told apart from those whose instance had it only by guessing: no line said that others had told of a change, or how long the own call to the store had lasted. New are the line 'late' (own and told version, age of the call under way), call_s on 'lost', and the gauge quetzalwall_knowledge_age_seconds. No decision changes.

--- a/quetzalwall/process/front.py
+++ b/quetzalwall/process/front.py
@@ -317,6 +317,9 @@
             if state.client.idle:
                 state.client.close_stale()
         self.limits.shifts.step()
+        watches = self._watches.values()
+        age_s = max(watch.look() for watch in watches)
+        self.metrics.set_gauge("knowledge_age_seconds", age_s)
         if self.endpoints.forgotten != self._forgotten:
             self._forgotten = self.endpoints.forgotten
             self.limits.cold.forget(lambda name: self.endpoints.get(name) is not None)
--- a/quetzalwall/process/knowledge/store_watch.py
+++ b/quetzalwall/process/knowledge/store_watch.py
@@ -24,6 +24,7 @@
 BEHIND_S = 0.8  # after which the store is asked for what no instance has told
 HANDOVER_S = 1.5  # for which an instance goes on, until its successor has read
 AWAY_AFTER_S = 3.0  # without contact, entries may have lapsed
+TOLD_S = 1.0  # for which others know more, before a line says so
 LOG = get_logger("store")
 
 
@@ -71,6 +72,8 @@
         self._pause_s = RETRY_FIRST_S
         self._behind_since = None
         self._followed = -math.inf
+        self._called = None
+        self._told_since = None
         self._task = None
 
     def start(self):
@@ -91,6 +94,37 @@
         """
         return self.lost and self._monotonic() - self.contact > AWAY_AFTER_S
 
+    def look(self):
+        """Write a line if other instances have known more for a while.
+
+        Returns
+        -------
+        float
+            Seconds since the last answer about this table.
+        """
+        now = self._monotonic()
+        if not ahead_of(self._fleet, self._table):
+            self._told_since = None
+        elif self._told_since is None:
+            self._told_since = now
+        elif now - self._told_since > TOLD_S:
+            log_event(
+                LOG,
+                "late",
+                "warning",
+                table=self._table,
+                version=known_up_to(self._fleet, self._table),
+                told=self._fleet.newest(self._table),
+                late_s=now - self._told_since,
+                call_s=self._call_s(),
+                follows=follows_store(self._fleet),
+            )
+        return now - self.contact
+
+    def _call_s(self):
+        """Return for how long a call to the store has been under way, 0 if none is."""
+        return 0.0 if self._called is None else self._monotonic() - self._called
+
     def _round(self):
         try:
             if self.loaded and not self._follows_store():
@@ -116,10 +150,12 @@
 
     def _step(self, wait_s=FEED_WAIT_S):
         whole = self._version is None
+        self._called = self._monotonic()
         if whole:
             rows = self._store.read(self._table)
         else:
             rows = self._store.follow(self._table, self._version, wait_s)
+        self._called = None
         away = self.away()
         self._note_contact()
         # A failure to take rows over has them read again.
@@ -175,8 +211,10 @@
                 step=exc.step,
                 reason=exc.message,
                 version=self._version,
+                call_s=self._call_s(),
             )
         self.lost = True
+        self._called = None
         self._fleet.reaches_store = False
 
 
