Bound the age of what an instance knows, whatever it waits for

Callers were handled by an older configuration, up to 8 s after the change, by instances that count as in touch after 4.0 s.

Cause: one task followed a table, one wait after the other: a call to the store (2.5 + 1.2 s), a question to another instance (0.8 s), a pause (up to 1.0 s), then the next call, on another connection from before the trouble. In 8 instances or fewer nobody asked others before its own call had failed; in more, those that rely on readers noted a contact without any. Class: knowledge taken for fresh without evidence, and waits whose sum nobody bounds.

Now two tasks follow each table, reports carry the age of the store's last answer, and one that does not read asks the store itself once that is too old. A call that times out closes the idle connections as well.

--- a/quetzalwall/connection/json_call.py
+++ b/quetzalwall/connection/json_call.py
@@ -82,6 +82,8 @@
         except gevent.Timeout as exc:
             if exc is not timeout:
                 raise
+            # What made this connection fall silent may have hit the others as well.
+            self._http.close_idle()
             raise PeerError(f"no answer in {limit_s} s", target, self.peer) from exc
         finally:
             timeout.close()
--- a/quetzalwall/connection/single_attempt.py
+++ b/quetzalwall/connection/single_attempt.py
@@ -78,6 +78,11 @@
     def _create_tcp_socket(self, family, socktype, protocol):
         return FairSocket(family, socktype, protocol)
 
+    def close_idle(self):
+        """Close the connections that wait for another request."""
+        while not self._socket_queue.empty():
+            self._socket_queue.get(block=False).close()
+
     def _is_socket_alive(self, sock):
         # The library's own check uses select(2).
         return sock is not None and sock.fileno() >= 0 and not readable_now(sock)
@@ -167,6 +172,10 @@
             raise
         return self._read_head(sock, req, step="read head")
 
+    def close_idle(self):
+        """Close the connections that wait for another request."""
+        self._connection_pool.close_idle()
+
     def _request_head(self, req):
         headers = dict(req.headers)
         if req.request_id:
--- a/quetzalwall/process/knowledge/fleet.py
+++ b/quetzalwall/process/knowledge/fleet.py
@@ -18,6 +18,7 @@
 from quetzalwall.process.knowledge.members import Members, counts
 from quetzalwall.process.knowledge.peer_report import Peer, PeerReport, is_newer
 from quetzalwall.process.knowledge.peer_socket import PeerSocket
+from quetzalwall.process.knowledge.table_news import TableNews
 from quetzalwall.process.tasks import repeat
 
 __all__ = ["SILENT_AFTER_S", "Fleet", "create_fleet"]
@@ -54,6 +55,7 @@
         self.reaches_store = True
         self.tables = {}
         self.read_up_to = {}
+        self.news = TableNews()
         self._port = port
         self._endpoints = endpoints
         self._monotonic = monotonic
@@ -61,7 +63,6 @@
         self._sequence = 0
         self._looked = None
         self._first_silence = -math.inf
-        self._newest = {}
         self._before = []
         self._audiences = (Audience(True, NEAR_PER_S), Audience(False, FAR_PER_S))
         self._peers = {}
@@ -198,9 +199,7 @@
         peer.leaving = report.leaving
         peer.reaches_store = report.reaches_store
         peer.tables = report.tables
-        for table, version in report.tables.items():
-            if version > self._newest.get(table, 0):
-                self._newest[table] = version
+        self.news.hear(report, now)
         if peer.silent:
             self._first_silence = -math.inf
         peer.heard, peer.silent = now, False
@@ -257,20 +256,6 @@
         """
         return list(self._peers.values())
 
-    def newest(self, table):
-        """Return the latest version of a table that any other instance has told.
-
-        Parameters
-        ----------
-        table : str
-            Name of the table.
-
-        Returns
-        -------
-        int
-        """
-        return self._newest.get(table, 0)
-
     def before(self):
         """Yield the other instances that come before this one, in a fixed order.
 
@@ -299,6 +284,7 @@
                 if not peer.silent:
                     peer.heard = now
             self._members.clear()
+            self.news.forget_confirmations()
             return
         if now < self._first_silence:
             return
@@ -347,9 +333,18 @@
                 audience.peers += change
         self._first_silence = -math.inf
 
+    def report_s(self):
+        """Return the seconds between two reports of the peers that report most often.
+
+        Returns
+        -------
+        float
+            0 if there are no peers.
+        """
+        return min((a.period_s() for a in self._audiences if a.peers), default=0.0)
+
     def _read_pause_s(self):
-        periods_s = [a.period_s() for a in self._audiences if a.peers]
-        pause_s = READ_PART * min(periods_s, default=0.0)
+        pause_s = READ_PART * self.report_s()
         return min(PERIOD_S, pause_s) if pause_s > LEAST_READ_S else 0
 
     def _take(self, report):
@@ -380,6 +375,7 @@
             opened,
             slow,
             list(audience.held),
+            self.news.ages_ms(now),
         )
 
 
--- a/quetzalwall/process/knowledge/peer_report.py
+++ b/quetzalwall/process/knowledge/peer_report.py
@@ -63,6 +63,8 @@
     held : list of (int, int)
         Code of an endpoint, and of an object that it has served for the sender since
         its last report.
+    confirmed : dict of str to int
+        Milliseconds since the store last told the sender what has changed in a table.
     """
 
     card: PeerCard
@@ -74,6 +76,7 @@
     open: list[tuple[int, int]]
     slow: list[tuple[int, int, int]]
     held: list[tuple[int, int]]
+    confirmed: dict[str, int] = {}
 
 
 _DECODER = msgspec.msgpack.Decoder(PeerReport)
--- a/quetzalwall/process/knowledge/readers.py
+++ b/quetzalwall/process/knowledge/readers.py
@@ -66,7 +66,7 @@
         Those of the own region first.
     """
     own = known_up_to(fleet, table)
-    if fleet.newest(table) <= own:
+    if fleet.news.newest(table) <= own:
         return []
     cards = [
         peer.card
--- a/quetzalwall/process/knowledge/tests/test_behind_others.py
+++ b/quetzalwall/process/knowledge/tests/test_behind_others.py
@@ -4,6 +4,7 @@
 from types import SimpleNamespace
 
 import gevent
+import gevent.event
 
 from quetzalwall.clock import system_clock
 from quetzalwall.connection.http_server import create_server, json_answer
@@ -158,3 +159,40 @@
     finally:
         watch.close()
     assert waits[0] == 0
+
+
+# CONFIG, issue 23: found while mending it. The store's answer to a question from before
+# another instance told of later changes holds states that were left behind.
+def test_an_answer_of_the_store_does_not_bring_older_rows_back():
+    fleet = fleet_of([own_address(n) for n in range(3)], 7)
+    taken, answer = [], gevent.event.Event()
+    older = [RowChange("ep-1", b"ready", 6), RowChange("ep-1", None, 7)]
+
+    def follow(table, after, wait_s):
+        if after == 5:
+            answer.wait()
+            return Rows(older, 7)
+        gevent.sleep(wait_s)
+        return Rows([], 7)
+
+    def take(rows, whole, away):
+        taken.append(rows)
+        fleet.read_up_to[TABLE] = rows.version
+
+    watch = create_table_watch(
+        SimpleNamespace(read=lambda table: Rows([], 5), follow=follow),
+        TABLE,
+        take,
+        lambda after: (CHANGES, False),
+        fleet,
+        system_clock().monotonic,
+    )
+    watch.start()
+    try:
+        wait_for(lambda: CHANGES in taken, 2.5)
+        answer.set()
+        gevent.sleep(0.5)
+    finally:
+        watch.close()
+    assert [rows.version for rows in taken[:2]] == [5, 7]
+    assert not any(rows.rows == older for rows in taken)
