Let an odd entry among those of the endpoints name none to use

Reported by other operators: an odd entry of another writer (deeply nested, a number too large, a port out of range) ended the machines that read the list, or their following of it. Here: slots of 400 digits were taken, and each choice for that service then raised OverflowError, so that one entry took the service away; a port with a space, an underscore or other digits was taken as a port; an endless coldLeft was taken; and an unreadable entry over a good one left the old one in use, so that a leaving that was spoiled would never be heard. No entry ended a process or the following of the list.

Cause: each field was checked by the exception that came to mind. Numbers have ranges now, a port is one to five ASCII digits, all errors of arithmetic and depth refuse the row, and an entry that can't be read takes its endpoint out of use, which keeps what is known of it until the entry is sound again. The same sought elsewhere: numbers of the configuration, rows of the store and of instances.

--- a/quetzalwall/platform/rows.py
+++ b/quetzalwall/platform/rows.py
@@ -35,8 +35,20 @@
 EVACUATION_PREFIX = "evacuate/"
 KINDS = {"safe": True, "unsafe": False, "upload": False}  # whether it may run twice
 STATES = {"ready": False, "draining": True}  # whether the endpoint is leaving
-DURATION = re.compile(r"(-?\d+(?:\.\d+)?)(ms|s)")
+DURATION = re.compile(r"(-?[0-9]+(?:\.[0-9]+)?)(ms|s)")
+PORT = re.compile(r"[0-9]{1,5}")
 HIGHEST_PORT = 65535
+MOST_SLOTS = 1_000_000
+MOST_COLD_S = 86_400.0
+MOST_MESSAGE = 400  # characters
+UNREADABLE = (
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    ArithmeticError,
+    RecursionError,
+)
 DEFAULT_ATTEMPTS = 2
 DEFAULT_TARGET_S = 1.0
 DEFAULT_RANK = 5
@@ -70,8 +82,11 @@
     """
     match = DURATION.fullmatch(text) if isinstance(text, str) else None
     if match is None:
-        raise RowError(f"not a duration: {text!r}", step="decode row")
-    return float(match[1]) * (0.001 if match[2] == "ms" else 1.0)
+        raise RowError(f"not a duration: {str(text)[:40]!r}", step="decode row")
+    seconds = float(match[1]) * (0.001 if match[2] == "ms" else 1.0)
+    if not math.isfinite(seconds):
+        raise RowError(f"duration too long: {text[:40]!r}", step="decode row")
+    return seconds
 
 
 def decode_configuration(raw):
@@ -146,8 +161,8 @@
         return decode(*args)
     except RowError as exc:
         raise RowError(f"{path}: {exc.message}", step="decode row") from exc
-    except (KeyError, TypeError, ValueError, AttributeError) as exc:
-        raise RowError(f"{path}: {exc!r}", step="decode row") from exc
+    except UNREADABLE as exc:
+        raise RowError(f"{path}: {exc!r}"[:MOST_MESSAGE], step="decode row") from exc
 
 
 def _records(body, key):
@@ -218,16 +233,22 @@
 
 
 def _endpoint(record, name):
-    host, _, port = _text(record["address"]).rpartition(":")
-    slots = record["slots"]
-    if isinstance(slots, bool) or not isinstance(slots, int) or slots < 1:
-        raise RowError(f"slots {slots!r}", step="decode row")
+    address = _text(record["address"])
+    host, _, port = address.rpartition(":")
     ipaddress.IPv4Address(host)
-    if not 1 <= int(port) <= HIGHEST_PORT:
-        raise RowError(f"address {record['address']!r}", step="decode row")
+    if not PORT.fullmatch(port) or not 1 <= int(port) <= HIGHEST_PORT:
+        raise RowError(f"address {address[:40]!r}", step="decode row")
+    slots = record["slots"]
+    if isinstance(slots, bool) or not isinstance(slots, int):
+        raise RowError(f"slots {str(slots)[:40]}", step="decode row")
+    if not 1 <= slots <= MOST_SLOTS:
+        raise RowError("slots out of range", step="decode row")
+    cold_s = max(0.0, _or_default(record.get("coldLeft"), 0.0))
+    if cold_s > MOST_COLD_S:
+        raise RowError(f"coldLeft {cold_s:.4g} s", step="decode row")
     born = record.get("born", 0)
     if isinstance(born, bool) or not isinstance(born, int):
-        raise RowError(f"born {born!r}", step="decode row")
+        raise RowError(f"born {str(born)[:40]}", step="decode row")
     return EndpointEntry(
         name=name,
         service=_text(record["service"]),
@@ -236,7 +257,7 @@
         domain=_text(record["zone"]),
         slots=slots,
         leaving=STATES[record["state"]],
-        cold_s=max(0.0, _or_default(record.get("coldLeft"), 0.0)),
+        cold_s=cold_s,
         born=born,
     )
 
--- a/quetzalwall/platform/store.py
+++ b/quetzalwall/platform/store.py
@@ -302,7 +302,7 @@
         return RowChange(row["key"], None, version)
     try:
         value = base64.b64decode(row.get("value") or "", validate=True)
-    except ValueError:
+    except (ValueError, TypeError):
         value = b""
     return RowChange(row["key"], value, version)
 
--- a/quetzalwall/process/knowledge/endpoint_table.py
+++ b/quetzalwall/process/knowledge/endpoint_table.py
@@ -7,6 +7,7 @@
 
 from quetzalwall.connection.endpoint_connections import EndpointConnections
 from quetzalwall.logs import get_logger, log_event
+from quetzalwall.process.knowledge.endpoint_code import endpoint_code
 from quetzalwall.process.knowledge.endpoint_state import create_endpoint_state
 
 __all__ = ["HOLDERS", "EndpointTable", "create_endpoint_table"]
@@ -195,13 +196,14 @@
                 _log_change("registered" if state is None else "restarted", entry)
             return
         old, state.entry = state.entry, entry
-        state.present, state.lapsed_until = True, None
+        back, state.present = not state.present, True
+        state.lapsed_until = None
         state.note_cold(entry.cold_s, self._monotonic())
         if old.service != entry.service:
             _remove(self._services, old.service, entry.name)
             self._note_change(old.service)
             self._add(state)
-        if old.leaving != entry.leaving or old.domain != entry.domain:
+        if back or old.leaving != entry.leaving or old.domain != entry.domain:
             self._note_change(entry.service)
         if old.leaving != entry.leaving or old.service != entry.service:
             _log_change("leaving" if entry.leaving else "changed", entry)
@@ -230,6 +232,20 @@
             return
         self._drop(state)
 
+    def spoil(self, name):
+        """Note that an entry names no endpoint any more; the next one may again.
+
+        Parameters
+        ----------
+        name : str
+            Identity.
+        """
+        state = self._states.get(name)
+        if state is not None and state.present:
+            state.present, state.lapsed_until = False, None
+            self._note_change(state.entry.service)
+            _log_change("spoiled", state.entry)
+
     def lapse_s(self, name):
         """Return the seconds in which an entry that has lapsed may come back.
 
@@ -339,21 +355,6 @@
             self._orders.clear()
 
 
-def endpoint_code(name):
-    """Return a short code of an endpoint, for messages between instances.
-
-    Parameters
-    ----------
-    name : str
-        Identity.
-
-    Returns
-    -------
-    int
-    """
-    return xxhash.xxh32_intdigest(name.encode())
-
-
 def _remove(index, key, name):
     states = index[key]
     states.pop(name, None)
--- a/quetzalwall/process/knowledge/fleet.py
+++ b/quetzalwall/process/knowledge/fleet.py
@@ -14,7 +14,7 @@
     SILENT_AFTER_S,
     Audience,
 )
-from quetzalwall.process.knowledge.endpoint_table import endpoint_code
+from quetzalwall.process.knowledge.endpoint_code import endpoint_code
 from quetzalwall.process.knowledge.members import Members, counts
 from quetzalwall.process.knowledge.peer_report import Peer, PeerReport, is_newer
 from quetzalwall.process.knowledge.peer_socket import PeerSocket
--- a/quetzalwall/process/knowledge/knowledge.py
+++ b/quetzalwall/process/knowledge/knowledge.py
@@ -269,6 +269,7 @@
                     row=change.version,
                     reason=exc.message,
                 )
+                self.endpoints.spoil(change.key)
                 continue
             self.endpoints.put(entry, log=not first)
         if first:
--- a/quetzalwall/process/registration.py
+++ b/quetzalwall/process/registration.py
@@ -59,5 +59,5 @@
 def _introduce(fleet, row):
     try:
         fleet.introduce(msgspec.json.decode(row.value, type=PeerCard))
-    except msgspec.DecodeError as exc:
+    except (msgspec.DecodeError, RecursionError) as exc:
         log_event(LOG, "bad-instance", "warning", row=row.key, reason=str(exc))
