--- a/quetzalwall/process/tests/test_odd_entries.py
+++ b/quetzalwall/process/tests/test_odd_entries.py
@@ -57,7 +57,7 @@
 }
 
 
-# LOST and own ends, report of other operators: an odd entry among those of the endpoints
+# LOST and own ends, report of other operators: an odd entry among those of endpoints
 # ended the processes that read it, or the following of the list.
 @params(*ODD)
 def test_an_odd_entry_is_left_out_and_the_others_hold(name):
