Keep to the limits that endpoints name, over all instances

An endpoint in need names in its answers the requests a second that it takes from all instances (Server-Limit, read with the prefix of the other headers as well). Nothing read it: callers' requests went on to it as before.

Each instance that had such an answer, or was told by another one, keeps a part of what the limit allows in 4 s. The division is that of cold endpoints, generalised (rate_share): evenly until all have told what they would send, then a fifth evenly and the rest by demand. Reports carry the limit with the age of the answer, and what each would send and has sent; the end travels the same way. What doesn't fit goes to the next endpoint of the estimate at once, or is refused as 'limited' with the time until there is room. One request a span over all instances goes to an endpoint that takes none, so that somebody hears of the end. Odd values name no limit and are logged.

--- a/quetzalwall/connection/dialect.py
+++ b/quetzalwall/connection/dialect.py
@@ -80,6 +80,11 @@
         Whether it bears what an endpoint's own answer must bear.
     promise : bool, default=False
         Whether callers take its status for "not run", which the endpoint didn't say.
+    limit_per_s : float or None, default=None
+        Requests a second that the endpoint takes from all instances together; None if
+        it names no limit.
+    odd_limit : str, default=""
+        What was named as a limit and is none.
     """
 
     request_id: str | None
@@ -91,6 +96,8 @@
     headers: list
     sound: bool = True
     promise: bool = False
+    limit_per_s: float | None = None
+    odd_limit: str = ""
 
 
 class Dialect(NamedTuple):
--- a/quetzalwall/platform/headers.py
+++ b/quetzalwall/platform/headers.py
@@ -1,5 +1,6 @@
 """Names of headers and query parameters, and what callers' headers say."""
 
+import re
 from urllib.parse import parse_qs
 
 from quetzalwall.connection.dialect import (
@@ -30,6 +31,9 @@
 LOAD = "X-Quetzalwall-Server-Load"
 NOT_RUN = "X-Quetzalwall-Request-Not-Run"
 COLD = "X-Quetzalwall-Cold-Ms"
+LIMIT_NAMES = frozenset(("server-limit", "x-quetzalwall-server-limit"))
+DECIMAL = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?")
+MOST_ODD = 60  # characters of a value that are logged
 OBJECT_COOKIE = "X-Quetzalwall-Affinity-Key"
 OWN = frozenset((DEADLINE.lower(), EXPECT.lower()))
 READY_PATH = "/ready"
@@ -103,10 +107,12 @@
     AnswerFacts
     """
     found = by_name(items)
-    skipped = HOP_HEADERS | {LOAD.lower(), REQUEST_ID.lower(), "date"}
+    skipped = HOP_HEADERS | LIMIT_NAMES | {LOAD.lower(), REQUEST_ID.lower(), "date"}
     passed = [(name, value) for name, value in items if name.lower() not in skipped]
     not_run = NOT_RUN.lower() in found or status == MISDIRECTED
     stamps = sum(name.lower() == STAMP.lower() for name, _ in items)
+    limits = [value for name, value in items if name.lower() in LIMIT_NAMES]
+    limit_per_s, odd_limit = _limit(limits)
     if REQUEST_ID.lower() in found:
         passed.append((REQUEST_ID, found[REQUEST_ID.lower()]))
     return AnswerFacts(
@@ -119,6 +125,8 @@
         headers=passed,
         sound=status not in SUCCESS or stamps == 1,
         promise=status in PROMISES and not not_run,
+        limit_per_s=limit_per_s,
+        odd_limit=odd_limit,
     )
 
 
@@ -180,6 +188,16 @@
     return figures[0], figures[1], figures[2], slowness
 
 
+def _limit(values):
+    """Return the limit that an answer names, and what it names instead of one."""
+    if not values:
+        return None, ""
+    text = values[0].strip()
+    if len(values) == 1 and DECIMAL.fullmatch(text):
+        return float(text), ""
+    return None, ", ".join(values)[:MOST_ODD] or "empty"
+
+
 def _milliseconds(text):
     try:
         return None if text is None else max(0, int(text)) / 1000
--- a/quetzalwall/process/front_metrics.py
+++ b/quetzalwall/process/front_metrics.py
@@ -21,6 +21,7 @@
         self._answers = self._counter("answers", ["route", "outcome", "status"])
         self._refusals = self._counter("refusals", ["route", "reason"])
         self._failures = self._counter("attempts_failed", ["service", "kind"])
+        self._elsewhere = self._counter("limited_elsewhere", ["service"])
         self._lookups = self._counter("lookups", [])
         self._seconds = Histogram(
             "quetzalwall_request_seconds",
@@ -67,6 +68,16 @@
         """
         self._child(self._failures, service, kind).inc()
 
+    def sent_elsewhere(self, service):
+        """Count a request that a nearer endpoint's limit left no room for.
+
+        Parameters
+        ----------
+        service : str
+            Label.
+        """
+        self._child(self._elsewhere, service).inc()
+
     def keep_routes(self, routes):
         """Drop the figures of routes that are gone.
 
@@ -77,7 +88,7 @@
         """
         for key in list(self._children):
             metric, labels = key
-            if metric is self._failures or not labels[0]:
+            if metric in (self._failures, self._elsewhere) or not labels[0]:
                 continue
             if labels[0] not in routes:
                 del self._children[key]
--- a/quetzalwall/process/knowledge/endpoint_state.py
+++ b/quetzalwall/process/knowledge/endpoint_state.py
@@ -41,6 +41,10 @@
         Codes of the objects that it has served, the last one last.
     present : bool
         Whether the registry holds it, or held it until the store went away.
+    named : NamedLimit or None
+        The limit that it names, or named until a while ago.
+    odd_limit : str
+        What its last answer named in place of a limit.
     """
 
     def __init__(self, entry, region, client, now):
@@ -55,6 +59,8 @@
         self.cold_until = -math.inf
         self.note_cold(entry.cold_s, now)
         self.objects = OrderedDict()
+        self.named = None
+        self.odd_limit = ""
         self._slowness = 1.0
         self._slowness_at = -math.inf
         self._slowness_own = False
--- a/quetzalwall/process/knowledge/fleet.py
+++ b/quetzalwall/process/knowledge/fleet.py
@@ -15,6 +15,7 @@
     Audience,
 )
 from quetzalwall.process.knowledge.endpoint_code import endpoint_code
+from quetzalwall.process.knowledge.endpoint_figures import EndpointFigures
 from quetzalwall.process.knowledge.members import Members, counts
 from quetzalwall.process.knowledge.peer_report import Peer, PeerReport, is_newer
 from quetzalwall.process.knowledge.peer_socket import PeerSocket
@@ -57,7 +58,7 @@
         self.read_up_to = {}
         self.news = TableNews()
         self._port = port
-        self._endpoints = endpoints
+        self._figures = EndpointFigures(endpoints)
         self._monotonic = monotonic
         self._process = process
         self._sequence = 0
@@ -203,15 +204,7 @@
         if peer.silent:
             self._first_silence = -math.inf
         peer.heard, peer.silent = now, False
-        self._set_open(peer, dict(report.open))
-        for code, hundredths, age_ms in report.slow:
-            state = self._endpoints.by_code(code)
-            if state is not None:
-                state.note_slowness(hundredths / 100, now - age_ms / 1000)
-        for code, object_key in report.held:
-            state = self._endpoints.by_code(code)
-            if state is not None:
-                state.note_held(object_key)
+        self._figures.take(peer, report, now)
 
     def due_reports(self, now):
         """Return the reports to send now; each call tells what came since the last.
@@ -298,7 +291,7 @@
                 self._first_silence = min(self._first_silence, peer.heard + limit_s)
             else:
                 peer.silent = True
-                self._set_open(peer, {})
+                self._figures.set_open(peer, {})
                 log_event(
                     LOG,
                     "silent",
@@ -308,18 +301,6 @@
                     silent_s=now - peer.heard,
                 )
 
-    def _set_open(self, peer, counts):
-        for code, count in peer.open.items():
-            state = self._endpoints.by_code(code)
-            if state is not None:
-                state.peer_open = max(0, state.peer_open - count)
-        peer.open = {}
-        for code, count in counts.items():
-            state = self._endpoints.by_code(code)
-            if state is not None:
-                state.peer_open += count
-                peer.open[code] = count
-
     def _add(self, card):
         peer = self._peers[card.name] = Peer(card)
         self._count(card, 1)
@@ -358,13 +339,7 @@
 
     def _own_report(self, audience, now):
         self._sequence += 1
-        opened, slow = [], []
-        for code, state in self._endpoints.codes():
-            if state.own_open:
-                opened.append((code, state.own_open))
-            seen = state.own_slowness_since(audience.told)
-            if seen is not None:
-                slow.append((code, int(seen[0] * 100), int((now - seen[1]) * 1000)))
+        opened, slow, limited = self._figures.own(audience.told, now)
         return PeerReport(
             self.card,
             self._process,
@@ -376,6 +351,7 @@
             slow,
             list(audience.held),
             self.news.ages_ms(now),
+            limited,
         )
 
 
--- a/quetzalwall/process/knowledge/peer_report.py
+++ b/quetzalwall/process/knowledge/peer_report.py
@@ -65,6 +65,8 @@
         its last report.
     confirmed : dict of str to int
         Milliseconds since the store last told the sender what has changed in a table.
+    limited : list of (int, int, int, int, int)
+        Code of an endpoint that names a limit, and the figures of `NamedLimit.told`.
     """
 
     card: PeerCard
@@ -77,6 +79,7 @@
     slow: list[tuple[int, int, int]]
     held: list[tuple[int, int]]
     confirmed: dict[str, int] = {}
+    limited: list[tuple[int, int, int, int, int]] = []
 
 
 _DECODER = msgspec.msgpack.Decoder(PeerReport)
--- a/quetzalwall/process/knowledge/readers.py
+++ b/quetzalwall/process/knowledge/readers.py
@@ -1,6 +1,6 @@
 """Which instances follow the store, and who knows more than this one."""
 
-__all__ = ["ahead_of", "follows_store", "known_up_to"]
+__all__ = ["ahead_of", "comes_first", "follows_store", "known_up_to"]
 
 READERS = 2  # instances of a region that follow the store for the others
 ALL_READ = 8  # instances up to which each follows the store itself
@@ -32,6 +32,24 @@
     return True
 
 
+def comes_first(fleet):
+    """Return whether no other instance that reaches the store comes before this one.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        The instances.
+
+    Returns
+    -------
+    bool
+    """
+    return not any(
+        peer.reaches_store and not (peer.silent or peer.leaving)
+        for peer in fleet.before()
+    )
+
+
 def known_up_to(fleet, table):
     """Return the version of the store up to which this instance knows a table.
 
--- a/quetzalwall/process/knowledge/store_watch.py
+++ b/quetzalwall/process/knowledge/store_watch.py
@@ -14,6 +14,7 @@
 from quetzalwall.platform.store import HistoryGone
 from quetzalwall.process.knowledge.readers import (
     ahead_of,
+    comes_first,
     follows_store,
     known_up_to,
 )
@@ -21,7 +22,8 @@
 
 __all__ = ["TableWatch", "create_table_watch"]
 
-FEED_WAIT_S = 1.0  # a silent connection is noticed within this and the call's limit
+FEED_WAIT_S = 2.0  # a silent connection is noticed within this and the call's limit
+FIRST_WAIT_S = 1.0  # the same for the one whose answers all others rely on
 PEER_PAUSE_S = 0.1  # between two looks at what peers know
 PAUSE_S = 0.25  # between two calls, so that one call brings several changes
 RETRY_FIRST_S = 0.2
@@ -151,7 +153,7 @@
             return
         try:
             # After a failure an answer is wanted at once, whether or not there is news.
-            self._call(FEED_WAIT_S if follows and not self.lost else 0)
+            self._call(self._feed_wait_s() if follows and not self.lost else 0)
             gevent.sleep(PAUSE_S)
         except HistoryGone:
             log_event(LOG, "history-gone", "warning", table=self._table)
@@ -177,12 +179,15 @@
             log_event(LOG, "behind", "warning", table=self._table)
             return True
         age_s = self._monotonic() - self.contact
-        limit_s = FEED_WAIT_S + PAUSE_S + SLACK_S + 2 * self._fleet.report_s()
+        limit_s = FIRST_WAIT_S + PAUSE_S + SLACK_S + 2 * self._fleet.report_s()
         if age_s > limit_s:
             log_event(LOG, "unconfirmed", "warning", table=self._table, age_s=age_s)
             return True
         return False
 
+    def _feed_wait_s(self):
+        return FIRST_WAIT_S if comes_first(self._fleet) else FEED_WAIT_S
+
     def _call(self, wait_s):
         whole, after = self._whole, self._version
         self._called = self._monotonic()
--- a/quetzalwall/process/limits/cold_pacing.py
+++ b/quetzalwall/process/limits/cold_pacing.py
@@ -1,6 +1,6 @@
 """Part of one instance of the rate at which cold endpoints get requests."""
 
-from quetzalwall.process.limits.share import rendezvous_order
+from quetzalwall.process.limits.share import rate_share, rendezvous_order
 from quetzalwall.process.window import SlidingWindow
 
 __all__ = ["ColdPacing", "create_cold_pacing", "cold_share"]
@@ -32,8 +32,9 @@
     """
     whole = int(limit * SAFE_PART)
     if whole >= len(instances):
-        return whole // max(1, len(instances))
-    return 1 if instance in rendezvous_order(endpoint, instances)[:whole] else 0
+        whole -= whole % len(instances)
+        return rate_share(whole, instance, instances)
+    return rate_share(whole, instance, rendezvous_order(endpoint, instances))
 
 
 class ColdPacing:
--- a/quetzalwall/process/limits/share.py
+++ b/quetzalwall/process/limits/share.py
@@ -2,7 +2,9 @@
 
 import xxhash
 
-__all__ = ["rendezvous_order", "whole_share"]
+__all__ = ["rate_share", "rendezvous_order", "whole_share"]
+
+EVEN_PART = 0.2  # of what is divided by demand, for those who had none until now
 
 
 def whole_share(limit, key, own, names):
@@ -35,6 +37,49 @@
     return part + (own in rendezvous_order(key, names)[:rest])
 
 
+def rate_share(whole, own, order, wanted=None):
+    """Return this instance's part of a number of requests.
+
+    Parameters
+    ----------
+    whole : int
+        Requests that all instances may send together.
+    own : str
+        Name of this instance.
+    order : sequence of str
+        Names of all instances, this one included; those that come first get what
+        remains after whole parts.
+    wanted : dict of str to int, default=None
+        Requests that each instance would send; those that are not in ``order`` get
+        nothing. None, or nobody's, divides evenly.
+
+    Returns
+    -------
+    int
+        The parts of all instances that know the same add up to the whole.
+
+    Examples
+    --------
+    >>> [rate_share(10, name, "abc") for name in "abc"]
+    [4, 3, 3]
+    >>> [rate_share(10, name, "abc", {"b": 30}) for name in "abc"]
+    [1, 9, 0]
+    """
+    wanted = {name: wanted[name] for name in order if wanted and wanted.get(name)}
+    total = sum(wanted.values())
+    if not total:
+        part, rest = divmod(whole, len(order))
+        return part + (rest > 0 and own in order[:rest])
+    even = EVEN_PART * whole / len(order)
+    parts = {
+        name: int(even + (1 - EVEN_PART) * whole * count / total)
+        for name, count in wanted.items()
+    }
+    rest = whole - sum(parts.values()) - int(even) * (len(order) - len(parts))
+    first = [*parts, *(name for name in order if name not in parts)]
+    return parts.get(own, int(even)) + (rest > 0 and own in first[:rest])
+
+
 def rendezvous_order(key, names):
     """Return instances in an order that differs from key to key.
 
--- a/quetzalwall/request/choice.py
+++ b/quetzalwall/request/choice.py
@@ -28,6 +28,8 @@
         How long work takes there, 1.0 being usual.
     of : int
         Endpoints chosen from.
+    limited : int, default=0
+        Nearer endpoints that the limits that they name leave no room at.
     """
 
     state: object
@@ -38,6 +40,7 @@
     wait_s: float
     slowness: float
     of: int
+    limited: int = 0
 
 
 class Refusal(NamedTuple):
--- a/quetzalwall/request/choose.py
+++ b/quetzalwall/request/choose.py
@@ -5,6 +5,7 @@
 """
 
 import math
+from operator import itemgetter
 from typing import NamedTuple
 
 from quetzalwall.logs import get_logger, log_event
@@ -134,6 +135,10 @@
             if found[0] < least_key:
                 best, least_key = (state, rank, *found[1:]), found[0]
         choice = Choice(*best, len(candidates))
+        if not self._limit_allows(choice.state, now):
+            choice = self._within_limits(costs, candidates, ranks, object_key, now)
+            if isinstance(choice, Refusal):
+                return choice
         if not self.fits(route, choice, left_s, stop_s):
             return STOPPING
         refusal = self._refuse(cfg, route, service, choice, left_s)
@@ -141,8 +146,35 @@
             return refusal
         if choice.state.cold(now):
             self._cold_pacing.note(choice.state.name, now)
+        if choice.state.named is not None:
+            choice.state.named.want(now)
+            choice.state.named.take(now)
         return choice
 
+    def _limit_allows(self, state, now):
+        """Return whether the limit that an endpoint names leaves room here."""
+        if state.named is None:
+            return True
+        own, names = self._fleet.card.name, self._fleet.names()
+        return state.named.allows(state.name, own, names, now)
+
+    def _within_limits(self, costs, candidates, ranks, object_key, now):
+        """Return the nearest endpoint whose limit leaves room, or a refusal."""
+        ranked = []
+        for state in candidates:
+            rank = ranks(state.name, HOLDERS)
+            found = self._expect(costs, state, rank, object_key, now)
+            ranked.append((found[0], state, rank, found[1:]))
+        ranked.sort(key=itemgetter(0))
+        wait_s = math.inf
+        for passed, (_, state, rank, figures) in enumerate(ranked):
+            if self._limit_allows(state, now):
+                return Choice(state, rank, *figures, len(candidates), passed)
+            # What is sent elsewhere counts as wanted: parts go by it.
+            state.named.want(now)
+            wait_s = min(wait_s, state.named.wait_s(now))
+        return Refusal("limited", _retry_after_s(wait_s))
+
     def fits(self, route, choice, left_s, stop_s):
         """Return whether a request is sure enough to end before this instance does.
 
--- /dev/null
+++ b/quetzalwall/request/note_limit.py
@@ -0,0 +1,35 @@
+"""What an answer says of the rate that its endpoint takes."""
+
+from quetzalwall.logs import get_logger, log_event
+from quetzalwall.process.knowledge.named_limit import NamedLimit
+from quetzalwall.process.knowledge.named_limit_log import log_change
+
+__all__ = ["note_limit"]
+
+LOG = get_logger("endpoints")
+
+
+def note_limit(state, facts, now):
+    """Take over the limit that an endpoint names in an answer, or that it names none.
+
+    Parameters
+    ----------
+    state : EndpointState
+        The endpoint.
+    facts : AnswerFacts
+        What the answer says.
+    now : float
+        Monotonic seconds.
+    """
+    if facts.odd_limit and facts.odd_limit != state.odd_limit:
+        log_event(
+            LOG, "odd-limit", "warning", endpoint=state.name, value=facts.odd_limit
+        )
+    state.odd_limit = facts.odd_limit
+    if state.named is None:
+        if facts.limit_per_s is None:
+            return
+        state.named = NamedLimit(now)
+    before = state.named.per_s
+    state.named.note_answer(facts.limit_per_s, now)
+    log_change(state, before, "answer", now)
--- a/quetzalwall/request/request_log.py
+++ b/quetzalwall/request/request_log.py
@@ -88,6 +88,7 @@
         expected_s=choice.expected_s,
         left_s=req.deadline - now,
         of=choice.of,
+        limited=choice.limited,
     )
 
 
--- a/quetzalwall/request/serve.py
+++ b/quetzalwall/request/serve.py
@@ -17,6 +17,7 @@
 )
 from quetzalwall.request.choice import STOPPING, Refusal
 from quetzalwall.request.estimate import least
+from quetzalwall.request.note_limit import note_limit
 from quetzalwall.request.request_log import (
     log_choice,
     log_failure,
@@ -262,8 +263,9 @@
             return choice
         if shift is not None:
             self._limits.shifts.take(shift, now)
-        name = shift.shift.name if shift else ""
-        log_choice(req, choice, len(tried) + 1, now, name)
+        if choice.limited:
+            self._metrics.sent_elsewhere(req.service)
+        log_choice(req, choice, len(tried) + 1, now, shift.shift.name if shift else "")
         return choice
 
     def _may_retry(self, req, failure):
@@ -319,6 +321,7 @@
         state = choice.state
         if facts.load is not None:
             state.note_slowness(facts.load[3], now, own=True)
+        note_limit(state, facts, now)
         if facts.misdirected:
             state.wrong_address = True
             raise NotRun("another endpoint has the address", "match", state.name)
--- a/standins/served_endpoint.py
+++ b/standins/served_endpoint.py
@@ -9,7 +9,8 @@
 run; its value is the identity that it names, "" for none),
 ``lose`` (run, then reset), ``error`` (run, then answer 500),
 ``other`` (expect another identity), ``slow_s``, ``longer`` (bytes to add to answers),
-and ``endless`` (bytes to send again and again in the head of an answer).
+``endless`` (bytes to send again and again in the head of an answer), and ``limit`` (the
+requests a second that it names in its answers).
 """
 
 import re
@@ -141,6 +142,8 @@
         text = f"{self.name} {request_id} {len(body)}\n".encode()
         text += b"x" * self.behaviour.get("longer", 0)
         load = f"{self._open},0,{self.slots},100"
+        if limit := self.behaviour.get("limit", ""):
+            load += f"\r\nServer-Limit: {limit}"
         if self.behaviour.get("error"):
             _answer(sock, 500, text, request_id, load)
             return True
