Have the soak play limits that endpoints name, and silent connections

Two kinds of trouble that no run played: an endpoint names 3 requests a second for 8 s while it would get ten times as much, and the open connections of one instance to the store fall silent while new ones work. A check holds the arrivals of instances in touch against 1.5 times the limit and 5 more in each 4 s from 4 s on.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -20,6 +20,8 @@
 LOSS_SLACK_S = 0.2
 DEADLINE_S = 2.0  # of each request
 LATE_S = 1.5  # beyond it, on a busy machine
+LIMIT_SPAN_S = 4.0
+LIMIT_PART, LIMIT_MORE = 1.5, 5  # of what a named limit allows in the span
 COLD_PER_S = 4.0 * 1.5 + 5.0  # of a cold endpoint, from all instances
 
 
@@ -92,6 +94,7 @@
         *_in_force(attempts, calm),
         *_drained(attempts, left, calm),
         *_in_time(attempts, calm),
+        *_within_limits(attempts, endpoints, calm),
     ]
 
 
@@ -198,6 +201,26 @@
             yield Breach("in time", f"{attempt} was held past its deadline")
 
 
+def _within_limits(attempts, endpoints, calm):
+    sent = {attempt.request_id: attempt for attempt in attempts}
+    for endpoint in endpoints:
+        for begin, end, per_s in endpoint.limits:
+            times = [
+                at
+                for at, (name, _) in zip(endpoint.times, endpoint.arrivals, strict=True)
+                if begin + STABLE_S <= at <= end
+                and name in sent
+                and not _was_troubled(sent[name], calm)
+            ]
+            most = LIMIT_PART * LIMIT_SPAN_S * per_s + LIMIT_MORE
+            got = max(
+                (sum(a <= t < a + LIMIT_SPAN_S for t in times) for a in times),
+                default=0,
+            )
+            if got > most:
+                yield Breach("limit", f"{endpoint.name}: {got} of {most} in 4 s")
+
+
 def _was_troubled(attempt, calm, since=None):
     """Return whether an instance was not in touch when a request was sent.
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -31,6 +31,7 @@
 CONNECT_S = 1.0
 ANSWER_S = 4.0
 STOP_S = 8.0  # well over the grace
+LIMIT_PER_S = 3.0  # named by an endpoint that would get ten times as much
 PAUSE_S = 0.04  # at most, between two requests on a connection
 
 
@@ -243,6 +244,14 @@
             self.breaches.append(Breach("room", f"{instance.address} took no caller"))
         crowd.join()
 
+    def _name_limit(self, instance, endpoint, span_s):
+        began = time.monotonic()
+        self._behave(endpoint, span_s, limit=str(LIMIT_PER_S))
+        endpoint.limits.append((began, time.monotonic(), LIMIT_PER_S))
+
+    def _silence(self, instance, endpoint, span_s):
+        instance.store.silence()
+
     def _configure(self, *_):
         version = self.world.configure()
         self.calm.versions.append((time.monotonic(), version))
@@ -286,6 +295,7 @@
     "endpoint cut short",
     "endpoint without end",
     "endpoints slow",
+    "endpoint names a limit",
 }
 STEPS = {
     "kill": Soak._kill,
@@ -306,6 +316,8 @@
     "endpoint cut short": lambda s, i, e, t: s._behave(e, t, cut=True),
     "endpoint without end": lambda s, i, e, t: s._behave(e, t, endless=b"a: b\r\n"),
     "endpoints slow": lambda s, i, e, t: s._behave_all(t, slow_s=0.6),
+    "endpoint names a limit": Soak._name_limit,
+    "store connections silent": Soak._silence,
     "configure": Soak._configure,
     "older configuration": lambda s, i, e, t: s.world.configure_older(),
     "drain": Soak._drain,
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -35,6 +35,10 @@
 )
 
 
+LATER_FAULTS = ("endpoint names a limit", "store connections silent")
+LIMIT_S = 8.0  # until its bound holds, and as long again
+
+
 def make_schedule(seed, seconds, fleet):
     """Return the faults of a seed.
 
@@ -55,7 +59,13 @@
     rng = random.Random(f"schedule {seed}")
     count = int(seconds * 0.8)
     times = sorted(rng.uniform(1.0, max(1.0, seconds - 4.0)) for _ in range(count))
-    return [
+    faults = [
         (at, rng.choice(FAULTS), rng.randrange(fleet), rng.uniform(0.5, 3.0))
         for at in times
     ]
+    # Drawn apart, so that the schedules of earlier seeds stay as they were.
+    rng = random.Random(f"later faults {seed}")
+    for kind in LATER_FAULTS:
+        at = rng.uniform(1.0, max(1.0, seconds - LIMIT_S))
+        faults.append((at, kind, rng.randrange(fleet), LIMIT_S))
+    return sorted(faults)
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -30,6 +30,7 @@
     def __init__(self, left_at=None, **runs):
         self.name = "ep-1"
         self.left_at = left_at
+        self.limits = []
         self.runs = runs
 
 
--- a/standins/served_endpoint.py
+++ b/standins/served_endpoint.py
@@ -57,6 +57,7 @@
         self.arrivals = []
         self.times = []
         self.left_at = None
+        self.limits = []
         self.cancelled = 0
         self.connections = 0
         self._open = 0
