--- a/quetzalwall/process/front.py
+++ b/quetzalwall/process/front.py
@@ -254,7 +254,8 @@
         """Answer those who wait to be accepted, then accept no connection any more."""
         server = self._servers["callers"]
         for _ in range(LAST_LOOKS):
-            server.idle.make_room(server.pool, spare_part=1.0, least_idle_s=0.0)
+            if server.pool.free_count() == 0:
+                server.idle.make_room(server.pool, spare_part=1.0, least_idle_s=0.0)
             gevent.sleep(STOP_POLL_S)
         server.close()
         gevent.sleep(LAST_LOOK_S)
--- a/soak/run.py
+++ b/soak/run.py
@@ -234,7 +234,8 @@
         span_s = max(span_s, ROOM_S + 2 * TAKEN_S)
         crowd = gevent.spawn(self._connect, instance, span_s, IDLE_CALLERS, b"")
         gevent.sleep(ROOM_S)
-        starts, before = instance.starts, instance.undisturbed()
+        starts, before = instance.starts, self.world.ready(instance)
+        before &= instance.undisturbed()
         status = 0
         with suppress(OSError, gevent.Timeout), gevent.Timeout(TAKEN_S):
             place = instance.address, self.world.ports[0]
