Serve requests that callers send ahead side by side

Callers that send several look-ups on a connection before the first response got them one after the other: four of 0.5 s in one write were answered after 0.5, 1.0, 1.5 and 2.0 s, since the library's server loop reads a request only when the one before has been answered. Their deadlines passed in the socket.

The task of a connection now reads on while idempotent requests run, and responses go out in the order of the requests. A state machine without tasks or sockets (connection/pipeline.py) decides what starts, waits or is dropped; each request is a handler of the library that sends its own response in its turn. What must not be repeated runs alone. A connection that is closed answers what runs and closes behind the last of it; what is behind is dropped, logged and counted. A caller that leaves is noticed also behind unread bytes.

Ruled out: a buffer in front of the library's handler, which would need a parser of its own (docs/design/requests-ahead.md).

--- a/quetzalwall/connection/caller_connection.py
+++ b/quetzalwall/connection/caller_connection.py
@@ -1,11 +1,13 @@
 """The connection of a caller: reading the request body, detecting a disconnect."""
 
+import select
+
 import gevent
 import gevent.socket
 
 from quetzalwall.connection.http_server import BadRequest
 
-__all__ = ["CallerLeft", "NoMemory", "is_closed", "read_body", "cancel_on_disconnect"]
+__all__ = ["CallerLeft", "NoMemory", "is_closed", "read_body"]
 
 READ_BYTES = 64 * 1024
 
@@ -61,24 +63,6 @@
     return bytes(body)
 
 
-def cancel_on_disconnect(sock, task):
-    """Stop the task that serves a request when the caller closes its connection.
-
-    Parameters
-    ----------
-    sock : gevent.socket.socket
-        The caller's connection.
-    task : gevent.Greenlet
-        The task that serves the request.
-    """
-    try:
-        gevent.socket.wait_read(sock.fileno())
-    except (OSError, ValueError):
-        return
-    if is_closed(sock):
-        task.kill(CallerLeft, block=False)
-
-
 def is_closed(sock):
     """Return whether a caller has closed its connection.
 
@@ -92,8 +76,13 @@
     bool
     """
     try:
-        return not sock._sock.recv(1, gevent.socket.MSG_PEEK)
+        if not sock._sock.recv(1, gevent.socket.MSG_PEEK):
+            return True
     except BlockingIOError:
         return False
     except OSError:
         return True
+    # The end of the stream may follow the bytes that have not been read.
+    poller = select.poll()
+    poller.register(sock.fileno(), select.POLLRDHUP)
+    return bool(poller.poll(0))
--- /dev/null
+++ b/quetzalwall/connection/exchange.py
@@ -0,0 +1,200 @@
+"""One request of a caller's connection, and its response in its turn.
+
+The library's handler keeps the state of one request and response. An `Exchange` is such
+a handler for one request that the handler of the connection has read.
+"""
+
+import errno
+import time
+
+import gevent
+import gevent.event
+
+from quetzalwall.connection.http_server import QuietHandler
+from quetzalwall.connection.pipeline import MAX_WAITING_BYTES
+
+__all__ = ["EXCHANGE_KEY", "Exchange", "create_exchange"]
+
+# Keys of the WSGI environment.
+SOCKET_KEY = "quetzalwall.socket"
+TARGET_KEY = "quetzalwall.target"
+EXCHANGE_KEY = "quetzalwall.exchange"
+
+
+class Exchange(QuietHandler):
+    """One request of a connection and its response.
+
+    Attributes
+    ----------
+    idempotent : bool
+        Whether the request may be repeated.
+    has_body : bool
+        Whether it has a body, behind which the next request begins.
+    awaits_continue : bool
+        Whether an interim response is due before its body is sent.
+    arrived : float
+        Monotonic seconds at which its head had been read.
+    began : float or None
+        Monotonic seconds at which it was started.
+    task : gevent.Greenlet or None
+        The task that serves it; None if it is that of the connection.
+    turn : gevent.event.Event
+        Set when its response is the next one.
+    responding : bool
+        Whether its response is ready.
+    complete : bool
+        Whether its response was sent completely.
+    reservation : Reservation or None
+        Memory reserved for its bodies.
+    extra_bytes : int
+        Bytes reserved because it runs beside another request.
+    """
+
+    def begin(self, connection, monotonic=time.monotonic):
+        """Take over the request whose head a connection has read.
+
+        Parameters
+        ----------
+        connection : PipelinedHandler
+            The connection.
+        monotonic : callable
+            Clock in seconds.
+        """
+        self.__dict__.update(connection.__dict__)
+        self._connection = connection
+        self._monotonic = monotonic
+        self.idempotent = False
+        self.arrived, self.began = monotonic(), None
+        self.task = None
+        self.turn = gevent.event.Event()
+        self.responding = self.complete = False
+        self.reservation, self.extra_bytes = None, 0
+        self.response_length = 0
+        self.application = self.server.application
+        self.environ = self.get_environ()
+        chunked = "HTTP_TRANSFER_ENCODING" in self.environ
+        self.has_body = chunked or bool(self.content_length)
+        self.awaits_continue = "HTTP_EXPECT" in self.environ
+
+    def get_environ(self):
+        """Return the WSGI environment of the request.
+
+        Returns
+        -------
+        dict
+        """
+        environ = super().get_environ()
+        environ[SOCKET_KEY] = self.socket
+        environ[TARGET_KEY] = self.path
+        environ[EXCHANGE_KEY] = self
+        return environ
+
+    def reserved_bytes(self):
+        """Return the bytes of its bodies that are in memory.
+
+        Returns
+        -------
+        int
+        """
+        return 0 if self.reservation is None else self.reservation.reserved_bytes
+
+    def run(self):
+        """Serve the request and send its response."""
+        self.began = self._monotonic()
+        try:
+            self.handle_one_response()
+        finally:
+            self._connection.finish(self)
+
+    def await_turn(self):
+        """Wait until the responses to all earlier requests have been sent.
+
+        Returns
+        -------
+        float
+            Seconds waited.
+
+        Raises
+        ------
+        ConnectionResetError
+            No response can be sent on the connection any more.
+        """
+        self.responding = True
+        waited_since = self._monotonic()
+        try:
+            self._await_turn()
+        except gevent.GreenletExit:
+            raise _lost_connection() from None
+        if self._connection._pipeline.broken:
+            raise _lost_connection()
+        return self._monotonic() - waited_since
+
+    def _await_turn(self):
+        if not self._connection._pipeline.is_next(self):
+            self.turn.wait()
+
+    def await_room(self, size):
+        """Wait until bytes for this request may be read.
+
+        Responses that wait behind another one share a limit. The next response is not
+        subject to it.
+
+        Parameters
+        ----------
+        size : int
+            Number of bytes.
+        """
+        if self._connection.waiting_bytes() + size > MAX_WAITING_BYTES:
+            self._await_turn()
+
+    def is_last(self, wants_close):
+        """Return whether this response closes the connection.
+
+        Parameters
+        ----------
+        wants_close : bool
+            Whether the connection is to be closed after the requests that run.
+
+        Returns
+        -------
+        bool
+        """
+        return self._connection._pipeline.is_last(self, wants_close)
+
+    def process_result(self):
+        """Send the response."""
+        super().process_result()
+        self.complete = True
+
+    def _send_error_response_if_possible(self, error_code):
+        # Nothing may be sent out of turn or behind a part of another response.
+        if self.headers_sent or not self._connection._pipeline.is_next(self):
+            self.close_connection = True
+            return
+        super()._send_error_response_if_possible(error_code)
+
+
+def create_exchange(connection):
+    """Return the request whose head a connection has read.
+
+    Parameters
+    ----------
+    connection : PipelinedHandler
+        The connection.
+
+    Returns
+    -------
+    Exchange
+
+    Raises
+    ------
+    ValueError
+        The head is malformed.
+    """
+    exchange = Exchange.__new__(Exchange)
+    exchange.begin(connection)
+    return exchange
+
+
+def _lost_connection():
+    return ConnectionResetError(errno.ECONNRESET, "the connection has ended")
--- a/quetzalwall/connection/front_server.py
+++ b/quetzalwall/connection/front_server.py
@@ -3,40 +3,26 @@
 import errno
 
 from quetzalwall.connection.caller_connection import CallerLeft
+from quetzalwall.connection.exchange import EXCHANGE_KEY
 from quetzalwall.connection.http_server import (
     BadRequest,
     HttpLimits,
-    QuietHandler,
     create_server,
     status_line,
 )
+from quetzalwall.connection.pipelined_handler import PipelinedHandler, Pipelining
 from quetzalwall.logs import describe_failure, get_logger, log_event
 from quetzalwall.request.response import Response
 
 __all__ = ["create_front_application", "create_front_server"]
 
-SOCKET_KEY = "quetzalwall.socket"
-TARGET_KEY = "quetzalwall.target"
 RESERVATION_KEY = "quetzalwall.hold"
+REQUEST_ID_KEY = "quetzalwall.request_id"
+CLOSE_HEADER = ("Connection", "close")
+MIN_LOGGED_DELAY_S = 0.001  # of a request behind others of its connection
 LOG = get_logger("front-server")
 
 
-class FrontHandler(QuietHandler):
-    """Handler that passes the socket and the raw target to the application."""
-
-    def get_environ(self):
-        """Return the WSGI environment of a request.
-
-        Returns
-        -------
-        dict
-        """
-        environ = super().get_environ()
-        environ[SOCKET_KEY] = self.socket
-        environ[TARGET_KEY] = self.path
-        return environ
-
-
 class _AccountedBody(list):
     """Response body whose memory stays reserved until the server has sent it."""
 
@@ -65,19 +51,17 @@
     """
 
     def application(environ, start_response):
-        reservation = environ[RESERVATION_KEY] = memory_budget.open_reservation()
+        exchange = environ[EXCHANGE_KEY]
+        reservation = memory_budget.open_reservation(exchange.await_room)
+        environ[RESERVATION_KEY] = exchange.reservation = reservation
         try:
             response = respond(environ)
+            _await_turn(exchange, environ)
         except BaseException:
             reservation.close()
             raise
-        _start_response(
-            start_response,
-            response.status,
-            response.headers,
-            response.body,
-            is_stopping(),
-        )
+        wants_close = is_stopping() or CLOSE_HEADER in response.headers
+        _start_response(start_response, response, exchange.is_last(wants_close))
         return _AccountedBody(response.body, reservation)
 
     def respond(environ):
@@ -90,21 +74,34 @@
             raise ConnectionResetError(errno.ECONNRESET, str(exc)) from exc
         except Exception as exc:
             log_event(LOG, "failed", "error", **describe_failure(exc))
-            return Response(502, [("Connection", "close")], b"unexpected failure\n")
+            return Response(502, [CLOSE_HEADER], b"unexpected failure\n")
 
     return application
 
 
-def _start_response(start_response, status, headers, body, close_connection):
-    headers = list(headers)
-    if status not in (204, 304):
-        headers.append(("Content-Length", str(len(body))))
-    if close_connection and ("Connection", "close") not in headers:
-        headers.append(("Connection", "close"))
-    start_response(status_line(status), headers)
+def _await_turn(exchange, environ):
+    """Wait for the earlier responses of the connection; log a delay."""
+    start_s = exchange.began - exchange.arrived
+    response_s = exchange.await_turn()
+    if start_s + response_s >= MIN_LOGGED_DELAY_S:
+        request_id = environ.get(REQUEST_ID_KEY, "")
+        log_event(
+            LOG, "in-turn", req=request_id, start_s=start_s, response_s=response_s
+        )
+
+
+def _start_response(start_response, response, is_last):
+    headers = [item for item in response.headers if item != CLOSE_HEADER]
+    if response.status not in (204, 304):
+        headers.append(("Content-Length", str(len(response.body))))
+    if is_last:
+        headers.append(CLOSE_HEADER)
+    start_response(status_line(response.status), headers)
 
 
-def create_front_server(address, application, max_connections):
+def create_front_server(
+    address, application, max_connections, is_idempotent, record_dropped, memory_budget
+):
     """Return the server for callers, not yet started.
 
     Parameters
@@ -115,10 +112,14 @@
         WSGI application.
     max_connections : int
         Maximum number of open connections; further ones wait to be accepted.
+    is_idempotent, record_dropped, memory_budget
+        As of `Pipelining`.
 
     Returns
     -------
     NoDelayServer
     """
     limits = HttpLimits(max_connections=max_connections)
-    return create_server(*address, application, limits, handler=FrontHandler)
+    server = create_server(*address, application, limits, handler=PipelinedHandler)
+    server.pipelining = Pipelining(is_idempotent, record_dropped, memory_budget)
+    return server
--- a/quetzalwall/connection/http_server.py
+++ b/quetzalwall/connection/http_server.py
@@ -14,6 +14,8 @@
 
 __all__ = [
     "BadRequest",
+    "STALL_TIMEOUT_S",
+    "STATUS_TEXT",
     "HttpLimits",
     "QuietHandler",
     "create_server",
@@ -99,11 +101,8 @@
         -------
         str
         """
-        self._request_count += 1
+        self.yield_if_due()
         idle = self.server.idle
-        if self._request_count % YIELD_AFTER_REQUESTS == 0:
-            # Requests that are served without waiting may follow each other endlessly.
-            gevent.sleep(YIELD_SLEEP_S)
         idle.add(self.socket)
         try:
             return super().read_requestline()
@@ -112,6 +111,15 @@
         finally:
             idle.remove(self.socket)
 
+    def yield_if_due(self):
+        """Yield to other tasks once every `YIELD_AFTER_REQUESTS` requests.
+
+        Requests that are served without waiting may follow each other endlessly.
+        """
+        self._request_count += 1
+        if self._request_count % YIELD_AFTER_REQUESTS == 0:
+            gevent.sleep(YIELD_SLEEP_S)
+
     def _write_with_headers(self, data):
         # The library sends head and body apart; small ones are sent in one segment.
         if len(data) > MAX_COALESCED_BYTES:
--- a/quetzalwall/connection/memory_budget.py
+++ b/quetzalwall/connection/memory_budget.py
@@ -29,15 +29,48 @@
         self.open_requests = 0
         self.max_response_bytes = int(capacity * MAX_RESPONSE_FRACTION)
 
-    def open_reservation(self):
+    def open_reservation(self, await_room=None):
         """Return the reservation of a new request, which the caller has to close.
 
+        Parameters
+        ----------
+        await_room : callable, default=None
+            As of `Reservation`.
+
         Returns
         -------
         Reservation
         """
         self.open_requests += 1
-        return Reservation(self)
+        return Reservation(self, await_room)
+
+    def try_reserve(self, size):
+        """Reserve bytes that belong to no request if there is room for them.
+
+        Parameters
+        ----------
+        size : int
+            Number of bytes.
+
+        Returns
+        -------
+        bool
+            Whether the bytes were reserved.
+        """
+        if self.used_bytes + size > self.capacity:
+            return False
+        self.used_bytes += size
+        return True
+
+    def release(self, size):
+        """Take bytes back that were reserved.
+
+        Parameters
+        ----------
+        size : int
+            Number of bytes.
+        """
+        self.used_bytes -= size
 
 
 class Reservation:
@@ -47,11 +80,19 @@
     ----------
     budget : MemoryBudget
         The budget of the process.
+    await_room : callable, default=None
+        Called with the number of bytes before they are reserved; it may wait.
+
+    Attributes
+    ----------
+    reserved_bytes : int
+        Bytes reserved now.
     """
 
-    def __init__(self, budget):
+    def __init__(self, budget, await_room=None):
         self.budget = budget
-        self._reserved_bytes = 0
+        self.reserved_bytes = 0
+        self._await_room = await_room
         self._is_open = True
 
     def try_reserve(self, size):
@@ -67,10 +108,11 @@
         bool
             Whether the bytes were reserved.
         """
-        if self.budget.used_bytes + size > self.budget.capacity:
+        if self._await_room is not None:
+            self._await_room(size)
+        if not self.budget.try_reserve(size):
             return False
-        self.budget.used_bytes += size
-        self._reserved_bytes += size
+        self.reserved_bytes += size
         return True
 
     def release(self, size):
@@ -81,11 +123,11 @@
         size : int
             Number of bytes, at most those reserved.
         """
-        self.budget.used_bytes -= size
-        self._reserved_bytes -= size
+        self.budget.release(size)
+        self.reserved_bytes -= size
 
     def close(self):
         """Give all bytes back and end the request; further calls do nothing."""
-        self.release(self._reserved_bytes)
+        self.release(self.reserved_bytes)
         self.budget.open_requests -= self._is_open
         self._is_open = False
--- a/quetzalwall/process/front.py
+++ b/quetzalwall/process/front.py
@@ -57,6 +57,7 @@
 from quetzalwall.request.endpoint_chooser import create_chooser
 from quetzalwall.request.grace_period import create_grace_period
 from quetzalwall.request.latency_model import create_latency_model
+from quetzalwall.request.request_reader import create_request_reader
 from quetzalwall.request.request_server import create_request_server
 
 __all__ = ["Front", "create_front", "run_front"]
@@ -149,8 +150,12 @@
             claims = create_claims(
                 self._batcher, clock, settings.instance, spawn=gevent.spawn
             )
+        self._reader = create_request_reader(
+            dialect, self.cluster_state, self.limits.split
+        )
         self.server = create_request_server(
             dialect,
+            self._reader,
             self.cluster_state,
             chooser,
             latency,
@@ -184,7 +189,14 @@
         )
         callers = max_connections(settings.memory_mb, settings.descriptors, "callers")
         self._servers = {
-            "callers": create_front_server(listen.callers, application, callers),
+            "callers": create_front_server(
+                listen.callers,
+                application,
+                callers,
+                self._reader.is_idempotent,
+                self.server.record_dropped,
+                self.memory_budget,
+            ),
             **create_interfaces(self),
         }
         for name, server in self._servers.items():
--- a/quetzalwall/process/front_metrics.py
+++ b/quetzalwall/process/front_metrics.py
@@ -23,6 +23,7 @@
         self._failed_attempts = self._counter("attempts_failed", ["service", "kind"])
         self._diversions = self._counter("limited_elsewhere", ["service"])
         self._lookups = self._counter("lookups", [])
+        self._dropped = self._counter("dropped", [])
         self._durations = Histogram(
             "quetzalwall_request_seconds",
             "From a request's arrival to its answer",
@@ -78,6 +79,10 @@
         """
         self._child(self._diversions, service).inc()
 
+    def record_dropped(self):
+        """Count a request behind the response that closed its connection."""
+        self._dropped.inc()
+
     def prune_routes(self, routes):
         """Remove the metrics of routes that no longer exist.
 
--- /dev/null
+++ b/quetzalwall/process/tests/test_requests_sent_ahead.py
@@ -0,0 +1,432 @@
+"""Requests that a caller sends before the earlier ones have been answered."""
+
+import itertools
+import socket
+import time
+from collections import Counter
+from contextlib import contextmanager
+
+import gevent
+import gevent.socket
+import logbook
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from nose2.tools import params
+
+from quetzalwall.connection.pipeline import MAX_RUNNING, MAX_WAITING_BYTES
+from quetzalwall.tests.platform_fixtures import (
+    HOST,
+    config_body,
+    route_row,
+    running_site,
+    wait_for,
+)
+
+WORK_S = 0.5
+SLOTS = 40  # enough for all requests of a test without queueing
+RESPONSE_TIMEOUT_S = 5.0
+
+
+@contextmanager
+def roomy_site(endpoints=1, work_s=0.01, slots=SLOTS):
+    """Run a site whose endpoints serve all requests of a test without queueing."""
+    with running_site(endpoints=endpoints, slots=slots, work_s=work_s) as site:
+        for endpoint in site.endpoints:
+            site.register(endpoint, slots=slots)
+        states = site.fronts[0].endpoints
+        wait_for(lambda: all(state.entry.slots == slots for state in states))
+        yield site
+
+
+def request(request_id, method="GET", target="/look/1", body=b"", *lines):
+    """Return the bytes of one request."""
+    head = [
+        f"{method} {target} HTTP/1.1",
+        f"Host: {HOST}",
+        f"X-Quetzalwall-Request-Id: {request_id}",
+        *lines,
+    ]
+    if body and not lines:
+        head.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(head).encode() + b"\r\n\r\n" + body
+
+
+def book(request_id, body=b""):
+    return request(request_id, "POST", "/book/1", body)
+
+
+def look(request_id, *lines):
+    return request(request_id, "GET", "/look/1", b"", *lines)
+
+
+def connect(site, receive_bytes=None):
+    sock = gevent.socket.socket()
+    if receive_bytes:
+        sock.setsockopt(
+            gevent.socket.SOL_SOCKET, gevent.socket.SO_RCVBUF, receive_bytes
+        )
+    sock.connect((site.fronts[0].settings.address, site.ports[0]))
+    sock.settimeout(RESPONSE_TIMEOUT_S)
+    return sock
+
+
+def read_response(reader):
+    """Return status, headers in lower case and body; None at the end of the stream."""
+    status_line = reader.readline()
+    if not status_line:
+        return None
+    headers = {}
+    while (line := reader.readline().decode().strip()) != "":
+        name, _, value = line.partition(":")
+        headers[name.lower()] = value.strip()
+    status = int(status_line.split()[1])
+    length = 0 if status == 100 else int(headers["content-length"])
+    return status, headers, reader.read(length)
+
+
+def read_all(sock):
+    """Return all responses until the end of the stream, and when each arrived."""
+    reader, found = sock.makefile("rb"), []
+    while (response := read_response(reader)) is not None:
+        found.append((*response, time.monotonic()))
+    return found
+
+
+def read_responses(sock, count):
+    reader = sock.makefile("rb")
+    return [(*read_response(reader), time.monotonic()) for _ in range(count)]
+
+
+def identities(responses):
+    """Return the identity that each response names in its body."""
+    return [body.split()[1].decode() for _, _, body, _ in responses]
+
+
+def arrivals(site):
+    return [sent for endpoint in site.endpoints for sent, _ in endpoint.arrivals]
+
+
+def start_lookups(site, count=8, work_s=WORK_S):
+    """Send look-ups on one connection and return it once all are under way."""
+    for endpoint in site.endpoints:
+        endpoint.behaviour["slow_s"] = work_s
+    sock = connect(site)
+    sock.sendall(b"".join(look(f"r{number}") for number in range(count)))
+    wait_for(lambda: len(arrivals(site)) == count)
+    return sock
+
+
+# Four look-ups of 0.5 s in one write were answered after 0.5, 1.0, 1.5 and 2.0 s.
+def test_lookups_sent_ahead_are_served_side_by_side():
+    with roomy_site(1, WORK_S) as site:
+        start = time.monotonic()
+        sock = connect(site)
+        sock.sendall(b"".join(look(f"r{number}") for number in range(4)))
+        responses = read_responses(sock, 4)
+        assert identities(responses) == ["r0", "r1", "r2", "r3"]
+        assert responses[-1][3] - start < 0.6
+        sent_ms = [
+            int(headers["x-quetzalwall-deadline-ms"])
+            for _, headers in site.endpoints[0].arrivals
+        ]
+        assert min(sent_ms) > 1800
+
+
+def test_responses_follow_in_the_order_of_requests_whichever_is_ready_first():
+    with roomy_site(2) as site:
+        site.endpoints[0].behaviour["slow_s"] = 0.4
+        sock = connect(site)
+        sent = [f"r{number}" for number in range(12)]
+        sock.sendall(b"".join(look(sent_id) for sent_id in sent))
+        responses = read_responses(sock, len(sent))
+        assert identities(responses) == sent
+        names = {body.split()[0] for _, _, body, _ in responses}
+        assert len(names) == 2
+        assert [
+            headers["x-quetzalwall-request-id"] for _, headers, *_ in responses
+        ] == (sent)
+
+
+def test_a_booking_waits_for_earlier_responses_and_nothing_overtakes_it():
+    with roomy_site(1, 0.2) as site:
+        sock = connect(site)
+        sock.sendall(look("a") + look("b") + book("c", b"body") + look("d") + look("e"))
+        responses = read_responses(sock, 5)
+        assert identities(responses) == ["a", "b", "c", "d", "e"]
+        times = dict(zip(arrivals(site), site.endpoints[0].arrival_times, strict=True))
+        assert times["b"] - times["a"] < 0.1
+        assert times["c"] - times["b"] >= 0.19
+        assert times["d"] - times["c"] >= 0.19
+        assert times["e"] - times["d"] < 0.1
+        assert responses[2][2].split()[2] == b"4"
+
+
+def test_the_deadline_of_a_booking_counts_from_its_arrival():
+    with roomy_site(1, 0.4) as site:
+        sock = connect(site)
+        sock.sendall(look("a") + book("b"))
+        read_responses(sock, 2)
+        headers = dict(site.endpoints[0].arrivals)["b"]
+        assert int(headers["x-quetzalwall-deadline-ms"]) <= 1650
+
+
+def test_a_booking_whose_time_has_passed_behind_others_is_not_sent():
+    with roomy_site(1, 0.4) as site:
+        sock = connect(site)
+        late = request("b", "POST", "/book/1", b"", "X-Quetzalwall-Deadline-Ms: 200")
+        sock.sendall(look("a") + late)
+        responses = read_responses(sock, 2)
+        assert [status for status, *_ in responses] == [200, 503]
+        assert responses[1][3] - responses[0][3] < 0.1
+        assert arrivals(site) == ["a"]
+
+
+def test_no_more_than_the_maximum_runs_at_once_on_a_connection():
+    with roomy_site(1, 0.3, slots=2 * SLOTS) as site:
+        sock = connect(site)
+        sock.sendall(b"".join(look(f"r{number}") for number in range(2 * MAX_RUNNING)))
+        gevent.sleep(0.2)
+        assert len(arrivals(site)) == MAX_RUNNING
+        read_responses(sock, 2 * MAX_RUNNING)
+
+
+# One slow look-up before many large ones would fill the memory of the instance.
+def test_large_responses_behind_a_slow_one_share_a_limit_of_memory():
+    with roomy_site(2) as site:
+        front, (slow, fast) = site.fronts[0], site.endpoints
+        rows = [
+            route_row("look", "/look/"),
+            route_row("slow", "/slow/", service="slow"),
+        ]
+        site.write_config(config_body(2, rows, ("desk", "slow")))
+        site.register(slow, service="slow", slots=SLOTS)
+        states = front.endpoints
+        wait_for(lambda: states.get("ep-0").entry.service == "slow")
+        wait_for(lambda: front.cluster_state.configuration().version == 2)
+        slow.behaviour["slow_s"] = 1.0
+        fast.behaviour["longer"] = 500_000
+        sock = connect(site)
+        sock.sendall(request("first", target="/slow/1"))
+        sock.sendall(b"".join(look(f"r{number}") for number in range(100)))
+        wait_for(lambda: slow.runs)
+        peak = 0
+        while not slow.responded_ids:
+            peak = max(peak, front.memory_budget.used_bytes)
+            gevent.sleep(0.01)
+        assert MAX_WAITING_BYTES < peak < 2 * MAX_WAITING_BYTES + 16 * 40_000, peak
+        assert identities(read_responses(sock, 101)) == [
+            "first",
+            *(f"r{number}" for number in range(100)),
+        ]
+        wait_for(lambda: front.memory_budget.used_bytes == 0)
+
+
+def test_a_planned_stop_answers_all_lookups_under_way_on_a_connection():
+    with roomy_site(1) as site:
+        sock = start_lookups(site)
+        stop = gevent.spawn(site.fronts[0].stop)
+        responses = read_all(sock)
+        assert [status for status, *_ in responses] == [200] * 8
+        closing = ["connection" in headers for _, headers, *_ in responses]
+        assert closing == [False] * 7 + [True]
+        stop.join()
+
+
+def test_a_planned_stop_does_not_pass_on_a_booking_behind_lookups():
+    handler = logbook.TestHandler()
+    with roomy_site(1) as site, handler.applicationbound():
+        sock = start_lookups(site)
+        sock.sendall(book("late") + look("later"))
+        gevent.sleep(0.05)
+        stop = gevent.spawn(site.fronts[0].stop)
+        responses = read_all(sock)
+        assert identities(responses) == [f"r{number}" for number in range(8)]
+        assert responses[-1][1]["connection"] == "close"
+        sock.close()
+        stop.join()
+        assert len(arrivals(site)) == 8
+        lines = [record.message for record in handler.records]
+        assert any("event=dropped req=late" in line for line in lines)
+        assert b"quetzalwall_dropped_total 2.0" in site.fronts[0].metrics.render()
+
+
+def test_nothing_behind_a_request_that_closes_the_connection_is_passed_on():
+    with roomy_site(1, 0.1) as site:
+        sock = connect(site)
+        sock.sendall(look("a") + look("b", "Connection: close") + look("c") + book("d"))
+        assert identities(read_all(sock)) == ["a", "b"]
+        gevent.sleep(0.2)
+        assert arrivals(site) == ["a", "b"]
+
+
+# A look that finds bytes to read does not tell whether the caller has left behind them.
+@params(2, 30)
+def test_work_ahead_is_cancelled_and_counted_once_when_the_caller_leaves(count):
+    with roomy_site(1, 1.5) as site:
+        sock = connect(site)
+        sock.sendall(b"".join(look(f"r{number}") for number in range(count)))
+        under_way = min(count, MAX_RUNNING)
+        wait_for(lambda: len(arrivals(site)) == under_way)
+        sock.close()
+        wait_for(lambda: site.endpoints[0].cancelled == under_way, 0.5)
+        gevent.sleep(0.1)
+        assert len(arrivals(site)) == under_way
+        metrics = site.fronts[0].metrics.render().decode()
+        line = 'outcome="caller-left",route="look",status="0"} ' + f"{under_way}.0"
+        assert line in metrics
+        assert site.fronts[0].in_flight == 0
+        assert site.fronts[0].memory_budget.used_bytes == 0
+
+
+# The instance reads all requests and the end of the stream before any task begins.
+def test_requests_whose_caller_left_before_they_began_leave_nothing_behind():
+    with roomy_site() as site:
+        assert site.get("/look/1")[0] == 200
+        address = (site.fronts[0].settings.address, site.ports[0])
+        # A blocking socket: the instance, in the same process, can't read meanwhile.
+        with socket.create_connection(address) as sock:
+            sock.sendall(b"".join(look(f"r{number}") for number in range(8)))
+        gevent.sleep(0.3)
+        assert len(arrivals(site)) == 1
+        assert site.fronts[0].memory_budget.used_bytes == 0
+        assert site.fronts[0].in_flight == 0
+
+
+def test_malformed_bytes_behind_good_requests_get_400_after_their_responses():
+    with roomy_site(1, 0.1) as site:
+        sock = connect(site)
+        sock.sendall(look("a") + look("b") + b"no request\r\n\r\n" + look("c"))
+        responses = read_all(sock)
+        assert [status for status, *_ in responses] == [200, 200, 400]
+        assert responses[-1][1]["connection"] == "close"
+        assert arrivals(site) == ["a", "b"]
+
+
+def test_a_request_line_in_pieces_is_served_beside_the_requests_before_it():
+    with roomy_site(1, 0.3) as site:
+        sock = connect(site)
+        start = time.monotonic()
+        for byte in look("a") + look("b") + look("c"):
+            sock.sendall(bytes([byte]))
+        assert identities(read_responses(sock, 3)) == ["a", "b", "c"]
+        assert time.monotonic() - start < 0.8
+
+
+@params("length", "chunked", "expect")
+def test_a_lookup_with_a_body_runs_beside_others_and_keeps_the_order(kind):
+    lines = {
+        "length": ["Content-Length: 4"],
+        "chunked": ["Transfer-Encoding: chunked"],
+        "expect": ["Expect: 100-continue", "Content-Length: 4"],
+    }[kind]
+    body = b"4\r\nbody\r\n0\r\n\r\n" if kind == "chunked" else b"body"
+    with roomy_site(1, 0.2) as site:
+        sock = connect(site)
+        middle = request("b", "GET", "/look/1", body, *lines)
+        sock.sendall(look("a") + middle + look("c"))
+        reader = sock.makefile("rb")
+        responses = []
+        while len(responses) < 3:
+            response = read_response(reader)
+            if response[0] == 100:
+                assert len(responses) == 1  # behind the response before it
+                continue
+            responses.append((*response, 0.0))
+        assert identities(responses) == ["a", "b", "c"]
+        assert responses[1][2].split()[2] == b"4"
+        times = dict(zip(arrivals(site), site.endpoints[0].arrival_times, strict=True))
+        assert (times["b"] - times["a"] < 0.1) == (kind != "expect")
+
+
+def test_many_requests_in_one_write_are_answered_in_order():
+    with running_site(endpoints=1) as site:
+        sock = connect(site)
+        count = 10_000
+        raw = b"".join(request(f"r{n}", "GET", f"/none/{n}") for n in range(count))
+        sender = gevent.spawn(sock.sendall, raw)
+        reader = sock.makefile("rb")
+        for number in range(count):
+            status, _, body = read_response(reader)
+            assert status == 404 and body.endswith(f"/none/{number}\n".encode()), body
+        sender.get()
+
+
+def test_a_caller_that_reads_slowly_gets_all_responses_complete():
+    with roomy_site(1) as site:
+        site.endpoints[0].behaviour["longer"] = 300_000
+        sock = connect(site, receive_bytes=4096)
+        sock.sendall(b"".join(look(f"r{number}") for number in range(6)))
+        first = b""
+        for _ in range(3):  # a byte a second
+            gevent.sleep(1.0)
+            first += sock.recv(1)
+        assert first == b"HTT"
+        assert site.get("/look/1")[0] == 200
+        reader = sock.makefile("rb")
+        for number in range(6):
+            head = reader.readline()
+            assert head.endswith(b"200 OK\r\n")
+            while (line := reader.readline().strip()) != b"":
+                if line.lower().startswith(b"content-length"):
+                    length = int(line.split(b":")[1])
+            assert reader.read(length).split()[1] == f"r{number}".encode()
+
+
+def test_an_idle_connection_is_evicted_only_once_all_its_responses_are_out():
+    with roomy_site(1, 0.2) as site:
+        idle = site.fronts[0]._servers["callers"].idle
+        sock = connect(site)
+        wait_for(lambda: len(idle) == 1)
+        sock.sendall(look("a") + look("b"))
+        wait_for(lambda: len(arrivals(site)) == 2)
+        assert len(idle) == 0
+        read_responses(sock, 2)
+        wait_for(lambda: len(idle) == 1)
+
+
+KINDS = {
+    "look": lambda sent_id: look(sent_id),
+    "book": lambda sent_id: book(sent_id, b"four"),
+    "none": lambda sent_id: request(sent_id, target="/none/1"),
+    "chunked": lambda sent_id: request(
+        sent_id, "GET", "/look/1", b"1\r\nx\r\n0\r\n\r\n", "Transfer-Encoding: chunked"
+    ),
+}
+STATUS_OF_KIND = {"look": 200, "book": 200, "none": 404, "chunked": 200}
+
+
+def test_any_mixture_of_requests_cut_anywhere_is_answered_in_order():
+    with roomy_site(2, work_s=0.001) as site:
+        site.endpoints[0].behaviour["slow_s"] = 0.02
+        numbers = itertools.count()
+
+        @settings(max_examples=40, deadline=None)
+        @given(
+            st.lists(st.sampled_from(list(KINDS)), min_size=1, max_size=24),
+            st.lists(st.integers(1, 400), max_size=12),
+        )
+        def check(kinds, cuts):
+            sent = [(kind, f"r{next(numbers)}") for kind in kinds]
+            raw = b"".join(KINDS[kind](sent_id) for kind, sent_id in sent)
+            sock = connect(site)
+            for size in cuts:
+                sock.sendall(raw[:size])
+                raw = raw[size:]
+                gevent.sleep(0)
+            sock.sendall(raw)
+            found = read_responses(sock, len(sent))
+            sock.close()
+            for (kind, sent_id), (status, headers, _, _) in zip(
+                sent, found, strict=True
+            ):
+                assert status == STATUS_OF_KIND[kind]
+                if status == 200:
+                    assert headers["x-quetzalwall-request-id"] == sent_id
+            runs = Counter()
+            for endpoint in site.endpoints:
+                runs.update(endpoint.runs)
+            assert all(runs[i] == 1 for kind, i in sent if kind == "book")
+
+        check()
+        wait_for(lambda: site.fronts[0].memory_budget.used_bytes == 0)
+        assert site.fronts[0].in_flight == 0
--- a/quetzalwall/request/request_log.py
+++ b/quetzalwall/request/request_log.py
@@ -5,6 +5,7 @@
 __all__ = [
     "log_abandoned",
     "log_choice",
+    "log_dropped",
     "log_failure",
     "log_finish",
     "log_no_route",
@@ -117,6 +118,17 @@
     )
 
 
+def log_dropped(metadata):
+    """Log that a request is not served as the response before it ends the connection.
+
+    Parameters
+    ----------
+    metadata : RequestMetadata
+        What the caller's headers say.
+    """
+    log_event(LOG, "dropped", "warning", req=metadata.request_id)
+
+
 def log_failure(req, exc, endpoint):
     """Log that an attempt failed.
 
--- /dev/null
+++ b/quetzalwall/request/request_reader.py
@@ -0,0 +1,159 @@
+"""Read callers' requests, each with the route that it matches."""
+
+from quetzalwall.connection.caller_connection import NoMemory, read_body
+from quetzalwall.connection.http_server import BadRequest
+from quetzalwall.request.choice import Rejection
+from quetzalwall.request.latency_model import min_of_known
+from quetzalwall.request.request import Request, object_hash
+from quetzalwall.request.request_log import log_no_route
+from quetzalwall.version.model import find_route
+
+__all__ = ["Refused", "RequestReader", "create_request_reader"]
+
+CONFIG_KEY = "quetzalwall.configuration"  # of the WSGI environment
+MAX_TIMEOUT_S = 30.0  # of a request, also if neither caller nor route sets one
+NO_CONFIG = Rejection("no configuration", 0.5)  # until one was read
+NO_ROOM_IN_MEMORY = Rejection("no memory", 1.0)  # while the memory budget is used up
+
+
+class Refused(Exception):
+    """A request is rejected before its body was read; it was not run.
+
+    Parameters
+    ----------
+    metadata : RequestMetadata
+        What the caller's headers say.
+    route : str
+        Name of its route; empty if it is not known.
+    rejection : Rejection
+        Why, and when to try again.
+    """
+
+    def __init__(self, metadata, route, rejection):
+        super().__init__(rejection.reason)
+        self.metadata = metadata
+        self.route = route
+        self.rejection = rejection
+
+
+class RequestReader:
+    """Reads the requests of callers.
+
+    Parameters
+    ----------
+    dialect : Dialect
+        Protocol variant of callers.
+    cluster_state : ClusterState
+        Tells the active configuration.
+    split : WeightedSplit
+        Chooses among the services of a route.
+    """
+
+    def __init__(self, dialect, cluster_state, split):
+        self._dialect = dialect
+        self._cluster_state = cluster_state
+        self._split = split
+
+    def is_idempotent(self, environ):
+        """Return whether a request may be repeated, and so run beside others.
+
+        A request that gets no endpoint, as it matches no route, counts as idempotent.
+        The configuration that decides this is also the one that the request is served
+        by if it is.
+
+        Parameters
+        ----------
+        environ : dict
+            WSGI environment.
+
+        Returns
+        -------
+        bool
+        """
+        cfg = self._cluster_state.configuration()
+        environ.pop(CONFIG_KEY, None)
+        if cfg is not None:
+            route = self._find_route(cfg, environ)
+            if route is not None and not route.idempotent:
+                return False
+        environ[CONFIG_KEY] = cfg
+        return True
+
+    def _find_route(self, cfg, environ):
+        try:
+            host, target = self._dialect.host_and_path(environ)
+        except BadRequest:
+            return None
+        path = target.partition("?")[0]
+        return find_route(cfg, host, path, environ["REQUEST_METHOD"])
+
+    def read(self, environ):
+        """Return the request of a caller, with its complete body.
+
+        Parameters
+        ----------
+        environ : dict
+            WSGI environment, with the exchange, the connection, the unchanged target
+            and the memory reservation of the request.
+
+        Returns
+        -------
+        Request
+
+        Raises
+        ------
+        BadRequest
+            The request is malformed or matches no route.
+        CallerLeft
+            The caller closed its connection.
+        Refused
+            There is no configuration yet, or no memory for the body.
+        """
+        arrived = environ["quetzalwall.exchange"].arrived
+        metadata = self._dialect.parse_request(environ)
+        environ["quetzalwall.request_id"] = metadata.request_id
+        host, target = self._dialect.host_and_path(environ)
+        cfg = environ.get(CONFIG_KEY, self._cluster_state.configuration())
+        if cfg is None:
+            raise Refused(metadata, "", NO_CONFIG)
+        method = environ["REQUEST_METHOD"]
+        path = target.partition("?")[0]
+        route = find_route(cfg, host, path, method)
+        if route is None:
+            log_no_route(metadata, host, path, cfg.version)
+            raise BadRequest(404, f"no route for {host}{path[:80]}")
+        reservation = environ["quetzalwall.hold"]
+        try:
+            body = read_body(environ, cfg.limits.max_body_bytes, reservation)
+        except NoMemory:
+            raise Refused(metadata, route.name, NO_ROOM_IN_MEMORY) from None
+        limit_s = min_of_known(metadata.timeout_s, route.timeout_s)
+        return Request(
+            metadata=metadata,
+            cfg=cfg,
+            route=route,
+            service=self._split.next_service(route),
+            method=method,
+            target=target,
+            body=body,
+            object_key=object_hash(route, metadata),
+            arrived=arrived,
+            deadline=arrived + min(limit_s, MAX_TIMEOUT_S),
+            sock=environ.get("quetzalwall.socket"),
+            reservation=reservation,
+        )
+
+
+def create_request_reader(dialect, cluster_state, split):
+    """Return a reader of requests.
+
+    Parameters
+    ----------
+    dialect, cluster_state, split
+        As of `RequestReader`.
+
+    Returns
+    -------
+    RequestReader
+    """
+    return RequestReader(dialect, cluster_state, split)
--- a/quetzalwall/request/request_server.py
+++ b/quetzalwall/request/request_server.py
@@ -1,14 +1,12 @@
 """Serve requests of callers, each from its head to the response."""
 
+from contextlib import suppress
 from functools import partial
 
 import gevent
 
 from quetzalwall.connection.caller_connection import (
     CallerLeft,
-    NoMemory,
-    cancel_on_disconnect,
-    read_body,
 )
 from quetzalwall.connection.endpoint_client import EndpointRequest
 from quetzalwall.connection.http_server import BadRequest
@@ -22,28 +20,24 @@
 )
 from quetzalwall.request.attempt_failure import record_attempt_failure
 from quetzalwall.request.choice import STOPPING, Rejection
-from quetzalwall.request.latency_model import min_of_known
 from quetzalwall.request.limit_announcement import record_limit_announcement
-from quetzalwall.request.request import Request, RequestResult, more_severe, object_hash
+from quetzalwall.request.request import RequestResult, more_severe
 from quetzalwall.request.request_log import (
     log_choice,
+    log_dropped,
     log_failure,
     log_finish,
-    log_no_route,
     log_rejection,
 )
+from quetzalwall.request.request_reader import Refused
 from quetzalwall.request.response import Response
 from quetzalwall.request.run_once import run_once
 from quetzalwall.request.send_checks import check_caller_connected, check_may_send
-from quetzalwall.version.model import find_route
 
 __all__ = ["RequestServer", "create_request_server"]
 
-MAX_TIMEOUT_S = 30.0  # of a request, also if neither caller nor route sets one
-NO_CONFIG_RETRY_S = 0.5  # Retry-After until a configuration was read
 FAILED_RETRY_S = 0.2  # Retry-After if all attempts failed
 MIN_FAILURE_STATUS = 500  # HTTP status from which on the endpoint has failed
-NO_MEMORY_RETRY_S = 1.0  # Retry-After while the memory budget is used up
 MIN_ATTEMPT_S = 0.02  # with less time remaining, another attempt would time out
 
 
@@ -54,6 +48,8 @@
     ----------
     dialect : Dialect
         Protocol variant of callers and endpoints.
+    reader : RequestReader
+        Reads requests.
     cluster_state : ClusterState
         Configuration, endpoints and fleet.
     chooser : Chooser
@@ -75,6 +71,7 @@
     def __init__(
         self,
         dialect,
+        reader,
         cluster_state,
         chooser,
         latency,
@@ -86,6 +83,7 @@
     ):
         self._grace = grace
         self._dialect = dialect
+        self._reader = reader
         self._claims = claims
         self._cluster_state = cluster_state
         self._chooser = chooser
@@ -113,17 +111,15 @@
         CallerLeft
             The caller closed its connection.
         """
-        req = self._read_request(environ)
-        if isinstance(req, Response):
-            return req
+        try:
+            req = self._reader.read(environ)
+        except Refused as exc:
+            return self._reject(exc.metadata, exc.route, "admission", *exc.rejection)
         # The caller may have disconnected before this process read the request.
         check_caller_connected(req)
         if self._grace.accept_limit_s() == 0:
             return self._reject(req.metadata, req.route.name, "admission", *STOPPING)
-        self._limits.retry_budget.record_request(req.service, req.arrived)
-        watcher = None
-        if req.route.idempotent and req.sock is not None:
-            watcher = gevent.spawn(cancel_on_disconnect, req.sock, gevent.getcurrent())
+        self._limits.retry_budget.record_request(req.service, self._monotonic())
         try:
             result = self._serve(req)
         except CallerLeft:
@@ -132,12 +128,21 @@
         except gevent.GreenletExit:
             stopped = OutcomeUnknown("the instance stopped", "await", "")
             result = RequestResult(self._dialect.fail(504, stopped), "unknown")
-        finally:
-            if watcher is not None:
-                watcher.kill(block=False)
         self._record_result(req, result)
         return result.response
 
+    def record_dropped(self, environ):
+        """Count and log a request behind the response that closes its connection.
+
+        Parameters
+        ----------
+        environ : dict
+            WSGI environment.
+        """
+        self._metrics.record_dropped()
+        with suppress(BadRequest):
+            log_dropped(self._dialect.parse_request(environ))
+
     def malformed_response(self, exc):
         """Return the response to a request that can't be read.
 
@@ -157,44 +162,6 @@
             return self._run(req)
         return run_once(self._claims, self._dialect, req, lambda: self._run(req))
 
-    def _read_request(self, environ):
-        arrived = self._monotonic()
-        metadata = self._dialect.parse_request(environ)
-        host, target = self._dialect.host_and_path(environ)
-        cfg = self._cluster_state.configuration()
-        if cfg is None:
-            return self._reject(
-                metadata, "", "admission", "no configuration", NO_CONFIG_RETRY_S
-            )
-        method = environ["REQUEST_METHOD"]
-        path = target.partition("?")[0]
-        route = find_route(cfg, host, path, method)
-        if route is None:
-            log_no_route(metadata, host, path, cfg.version)
-            raise BadRequest(404, f"no route for {host}{path[:80]}")
-        reservation = environ["quetzalwall.hold"]
-        try:
-            body = read_body(environ, cfg.limits.max_body_bytes, reservation)
-        except NoMemory:
-            return self._reject(
-                metadata, route.name, "admission", "no memory", NO_MEMORY_RETRY_S
-            )
-        limit_s = min_of_known(metadata.timeout_s, route.timeout_s)
-        return Request(
-            metadata=metadata,
-            cfg=cfg,
-            route=route,
-            service=self._limits.split.next_service(route),
-            method=method,
-            target=target,
-            body=body,
-            object_key=object_hash(route, metadata),
-            arrived=arrived,
-            deadline=arrived + min(limit_s, MAX_TIMEOUT_S),
-            sock=environ.get("quetzalwall.socket"),
-            reservation=reservation,
-        )
-
     def _run(self, req):
         """Try endpoints until one responds, and return the result."""
         tried, fallbacks = [], []
@@ -374,13 +341,24 @@
 
 
 def create_request_server(
-    dialect, cluster_state, chooser, latency, limits, claims, metrics, grace, monotonic
+    dialect,
+    reader,
+    cluster_state,
+    chooser,
+    latency,
+    limits,
+    claims,
+    metrics,
+    grace,
+    monotonic,
 ):
     """Return the server of callers' requests.
 
     Parameters
     ----------
-    dialect, cluster_state, chooser, latency, limits, claims, metrics, grace, monotonic
+    dialect, reader, cluster_state, chooser, latency, limits, claims, metrics, grace
+        As of `RequestServer`.
+    monotonic
         As of `RequestServer`.
 
     Returns
@@ -389,6 +367,7 @@
     """
     return RequestServer(
         dialect,
+        reader,
         cluster_state,
         chooser,
         latency,
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -45,6 +45,8 @@
         Request identity in the response's header, and its body.
     planned : bool
         Whether the instance was in a planned stop, undisturbed by other faults.
+    ahead : int, default=0
+        Number of requests before it in the same write.
     """
 
     request_id: str
@@ -57,6 +59,7 @@
     request_echo: str
     body: str
     planned: bool
+    ahead: int = 0
 
 
 class Breach(NamedTuple):
@@ -144,11 +147,10 @@
 
 def _check_planned_stops(attempts, runs):
     for attempt in attempts:
-        # A request that was sent while the instance closed the idle connection was
-        # never read.
-        was_read = (
-            runs[attempt.request_id] or attempt.ended - attempt.sent > IDLE_CLOSE_RACE_S
-        )
+        # A request that was sent while the instance closed the idle connection, or
+        # behind a response that closed it, was never read.
+        waited = attempt.ended - attempt.sent > IDLE_CLOSE_RACE_S
+        was_read = runs[attempt.request_id] or (waited and not attempt.ahead)
         # The HTTP server responds with 500 when a request's task is killed.
         cut = attempt.status in (0, 500) or "the instance stopped" in attempt.body
         if attempt.planned and was_read and cut:
--- a/soak/run.py
+++ b/soak/run.py
@@ -14,17 +14,10 @@
 import gevent
 from gevent.socket import create_connection
 
-from quetzalwall.connection.single_attempt import OutgoingRequest, create_client
 from quetzalwall.tests.platform_fixtures import HOST, call
-from soak.checks import (
-    DEADLINE_S,
-    MAX_COLD_PER_S,
-    Attempt,
-    Breach,
-    Timeline,
-    find_breaches,
-)
-from soak.fleet import GRACE_PERIOD_S, MEMORY_LIMIT_MB, SoakSite
+from soak.callers import create_callers
+from soak.checks import MAX_COLD_PER_S, Breach, Timeline, find_breaches
+from soak.fleet import MEMORY_LIMIT_MB, SoakSite
 from soak.schedule import make_schedule
 
 __all__ = ["main", "run_soak"]
@@ -36,10 +29,8 @@
 ACCEPT_TIMEOUT_S = 2.0  # of a request that is sent while the limit is reached
 IDLE_EVICTION_S = 3.0  # after it, some connections have been idle long enough to close
 CONNECT_S = 1.0  # time-out
-TIMEOUT_S = 4.0  # of a request, at the caller
 STOP_S = 8.0  # time-out of a planned stop, well over the grace period
 LIMIT_PER_S = 3.0  # advertised by an endpoint that would get ten times as much
-MAX_PAUSE_S = 0.04  # between two requests on a connection
 
 
 class Soak:
@@ -64,18 +55,17 @@
         self.breaches = []
         self.schedule = make_schedule(seed, seconds, instance_count)
         self.began = 0.0
-        self.ending = False
-        self._count = 0
+        self.callers = create_callers(self.site, self.rng, self.attempts)
 
     def run(self):
         """Run traffic and faults to their end; return the breaches."""
         try:
             self.site.start()
             self.began = time.monotonic()
-            callers = [gevent.spawn(self._run_caller, n) for n in range(CALLERS)]
+            callers = self.callers.start(CALLERS)
             faults = [gevent.spawn_later(f[0], self._inject, *f) for f in self.schedule]
             gevent.sleep(self.seconds)
-            self.ending = True
+            self.callers.ending = True
             gevent.joinall(callers)
             gevent.joinall(faults)
             self._check_instances()
@@ -91,69 +81,6 @@
             if (resident_mb := instance.resident_mb()) > MEMORY_LIMIT_MB:
                 self.breaches.append(Breach("memory", f"{number}: {resident_mb} MB"))
 
-    def _run_caller(self, number):
-        rng = random.Random(f"{number} {self.rng.random()}")
-        while not self.ending:
-            index = rng.randrange(len(self.site.instances))
-            instance = self.site.instances[index]
-            if not instance.running():
-                gevent.sleep(0.05)
-                continue
-            self._use_connection(rng, index, instance)
-
-    def _use_connection(self, rng, index, instance):
-        """Send up to 40 requests on one connection, until it ends."""
-        starts = instance.starts
-        # geventhttpclient's own client would retry a request after a reset.
-        client = create_client(
-            instance.address, self.site.ports[0], "instance", CONNECT_S, size=1
-        )
-        try:
-            for _ in range(40):
-                if self.ending or instance.starts != starts:
-                    return
-                attempt = self._send_request(rng, client, index, instance)
-                self.attempts.append(attempt)
-                if attempt.status == 0:
-                    return
-                gevent.sleep(rng.random() * MAX_PAUSE_S)
-        finally:
-            client.close()
-
-    def _send_request(self, rng, client, index, instance):
-        self._count += 1
-        request_id = f"r{self._count:08x}"
-        version = max(1, self.site.version - rng.randrange(3))
-        kind = rng.choices(("look", "book", f"v{version}"), (5, 4, 1))[0]
-        headers = {
-            "Host": HOST,
-            "X-Quetzalwall-Request-Id": request_id,
-            "X-Quetzalwall-Deadline-Ms": str(int(DEADLINE_S * 1000)),
-            "Cookie": f"X-Quetzalwall-Affinity-Key={rng.randrange(40)}",
-        }
-        method = "POST" if kind == "book" else "GET"
-        starts, sent = instance.starts, time.monotonic()
-        status, echo, body = 0, "", ""
-        with suppress(Exception):
-            res = client.send(OutgoingRequest(method, f"/{kind}/x", headers), TIMEOUT_S)
-            raw = bytes(res.read())
-            status, echo = res.status_code, res.get("X-Quetzalwall-Request-Id") or ""
-            body = raw.decode(errors="replace")
-        same_process = instance.starts == starts
-        ended = time.monotonic()
-        planned = instance.stopping and same_process and not instance.killed
-        planned &= not self._outlasted_grace_period(instance, request_id, ended)
-        return Attempt(
-            request_id, kind, index, starts, sent, ended, status, echo, body, planned
-        )
-
-    def _outlasted_grace_period(self, instance, request_id, ended):
-        """Return whether a request still ran in the last sixth of the grace period."""
-        if ended - instance.sigterm_at < GRACE_PERIOD_S * 5 / 6:
-            return False
-        endpoints = [*self.site.endpoints.values(), *self.site.drained.values()]
-        return not any(request_id in endpoint.responded_ids for endpoint in endpoints)
-
     def _inject(self, at_s, kind, number, span_s):
         instance = self.site.instances[number]
         endpoint = self.rng.choice(list(self.site.endpoints.values()))
