--- a/quetzalwall/process/tests/test_requests_sent_ahead.py
+++ b/quetzalwall/process/tests/test_requests_sent_ahead.py
@@ -38,6 +38,17 @@
         yield site
 
 
+@contextmanager
+def collected_task_errors():
+    """Collect the exceptions with which tasks end, in place of printing them."""
+    errors, hub = [], gevent.get_hub()
+    hub.handle_error = lambda context, kind, value, trace: errors.append(value)
+    try:
+        yield errors
+    finally:
+        del hub.handle_error
+
+
 def request(request_id, method="GET", target="/look/1", body=b"", *lines):
     """Return the bytes of one request."""
     head = [
@@ -278,15 +289,18 @@
         assert site.fronts[0].memory_budget.used_bytes == 0
 
 
-# The instance reads all requests and the end of the stream before any task begins.
-def test_requests_whose_caller_left_before_they_began_leave_nothing_behind():
-    with roomy_site() as site:
+# The instance reads requests before any of their tasks begins; the first task, or the
+# end of the stream, then shows that the caller has left.
+@params(8, 20)
+def test_requests_whose_caller_left_before_they_began_leave_nothing_behind(count):
+    with roomy_site() as site, collected_task_errors() as errors:
         assert site.get("/look/1")[0] == 200
         address = (site.fronts[0].settings.address, site.ports[0])
         # A blocking socket: the instance, in the same process, can't read meanwhile.
         with socket.create_connection(address) as sock:
-            sock.sendall(b"".join(look(f"r{number}") for number in range(8)))
+            sock.sendall(b"".join(look(f"r{number}") for number in range(count)))
         gevent.sleep(0.3)
+        assert not errors
         assert len(arrivals(site)) == 1
         assert site.fronts[0].memory_budget.used_bytes == 0
         assert site.fronts[0].in_flight == 0
