Count the bytes exchanged by kind and distance, and part the daemon

Operators could not tell what crosses failure domains and regions: bodies forwarded, reports, tables or the store. A counter by kind and distance, and a line each 10 s, tell it now. Front.__init__ made 20 parts in a row; they are made in process/front_parts.py by what they are for.

--- a/quetzalwall/connection/endpoint_client.py
+++ b/quetzalwall/connection/endpoint_client.py
@@ -6,7 +6,6 @@
 """
 
 from collections import deque
-from collections.abc import Callable
 from typing import NamedTuple
 
 import gevent
@@ -16,12 +15,11 @@
 
 from quetzalwall.connection.connection_limiter import ConnectionLimiter, connect_error
 from quetzalwall.connection.endpoint_connection import EndpointConnection
-from quetzalwall.connection.memory_budget import Reservation
 from quetzalwall.connection.nodelay import is_readable
 from quetzalwall.connection.response_parser import ResponseParser
 from quetzalwall.exceptions import IncompleteAnswer, NotRun, OutcomeUnknown
 
-__all__ = ["EndpointClient", "EndpointRequest", "create_endpoint_client"]
+__all__ = ["EndpointClient", "create_endpoint_client"]
 
 CONNECT_TIMEOUT_S = 0.6  # several round trips between the farthest regions
 MAX_IDLE_S = 8.0  # shorter than the endpoints' usual keep-alive time of 10 s
@@ -35,41 +33,6 @@
 POLL_S = 0.25  # between two calls of `should_abandon`
 
 
-class EndpointRequest(NamedTuple):
-    """A request to an endpoint, and how to send it.
-
-    Attributes
-    ----------
-    method, target : str
-        HTTP method, and path with query.
-    headers : dict of str to str
-        All headers except Content-Length.
-    body : bytes
-        The complete body.
-    request_id : str
-        Identifier that the response has to name; a request without one (empty) gets a
-        connection of its own.
-    idempotent : bool
-        Whether it may run twice; if so, any idle connection may carry it.
-    should_abandon : callable or None
-        Whether to stop waiting at an unresponsive endpoint; None waits in any case.
-    reservation : Reservation or None
-        Memory reserved for the response; None reserves nothing.
-    before_send : callable or None
-        Raises if nobody waits for the response any more, so that nothing is sent.
-    """
-
-    method: str
-    target: str
-    headers: dict
-    body: bytes
-    request_id: str
-    idempotent: bool
-    should_abandon: Callable | None = None
-    reservation: Reservation | None = None
-    before_send: Callable | None = None
-
-
 class _IdleConnection(NamedTuple):
     connection: EndpointConnection
     since: float
@@ -100,6 +63,8 @@
         Seconds that the last connection took to open: one round trip.
     limiter : ConnectionLimiter
         Limits the connections to all endpoints together.
+    count_bytes : callable
+        Called with ``"request"`` or ``"response"`` and a number of bytes.
     idle : collections.deque
         Idle connections, the one released last at the end.
     """
@@ -114,6 +79,7 @@
         self.idle = deque()
         self._closed = False
         self.limiter = ConnectionLimiter()
+        self.count_bytes = _ignore_bytes
         self._http = None  # created on demand: most endpoints get no request
 
     def send(self, req, deadline):
@@ -271,6 +237,7 @@
         self.sent = True
         self._conn.record_request(request_id)
         self._send(raw)
+        self._client.count_bytes("request", len(raw))
         parser = ResponseParser(self._req.method)
         response, metadata = self._receive(parser)
         echoed = request_id != "" and metadata.request_id == request_id
@@ -327,6 +294,7 @@
         try:
             self._await_bytes(parser, name)
             data = self._conn.sock.recv(READ_BYTES)
+            self._client.count_bytes("response", len(data))
             self._reserve(data, parser, name)
             parser.feed(data)
         except OSError as exc:
@@ -377,6 +345,10 @@
         raise IncompleteAnswer("endpoint refused and answered", "match", name)
 
 
+def _ignore_bytes(kind, size):
+    pass
+
+
 def _send_all(sock, raw):
     """Send; a broken connection is noticed when the response is read."""
     try:
--- a/quetzalwall/connection/json_client.py
+++ b/quetzalwall/connection/json_client.py
@@ -37,9 +37,15 @@
         Seconds that a complete call may take.
     size : int, default=8
         Maximum number of connections.
+
+    Attributes
+    ----------
+    exchanged_bytes : int
+        Length of all bodies sent and received so far.
     """
 
     def __init__(self, host, port, peer, timeout_s=1.0, size=8):
+        self.exchanged_bytes = 0
         self.peer = peer
         self.timeout_s = timeout_s
         self._http = create_client(
@@ -96,6 +102,7 @@
         try:
             res = self._http.send(req, limit_s)
             raw = _read_bounded(res)
+            self.exchanged_bytes += len(req.body) + len(raw)
         except (EndpointError, HTTPParseError, OSError) as exc:
             raise PeerError(str(exc), target, self.peer) from exc
         try:
--- a/quetzalwall/connection/tests/test_endless_responses.py
+++ b/quetzalwall/connection/tests/test_endless_responses.py
@@ -8,9 +8,9 @@
 from nose2.tools import params
 
 from quetzalwall.connection.endpoint_client import (
-    EndpointRequest,
     create_endpoint_client,
 )
+from quetzalwall.connection.endpoint_request import EndpointRequest
 from quetzalwall.connection.json_client import create_json_client
 from quetzalwall.exceptions import IncompleteAnswer, OutcomeUnknown, PeerError
 from quetzalwall.platform.headers import parse_response
--- a/quetzalwall/connection/tests/test_endpoint_client.py
+++ b/quetzalwall/connection/tests/test_endpoint_client.py
@@ -6,9 +6,9 @@
 from nose2.tools import params
 
 from quetzalwall.connection.endpoint_client import (
-    EndpointRequest,
     create_endpoint_client,
 )
+from quetzalwall.connection.endpoint_request import EndpointRequest
 from quetzalwall.exceptions import (
     IncompleteAnswer,
     NotConnected,
--- a/quetzalwall/connection/tests/test_response_matching.py
+++ b/quetzalwall/connection/tests/test_response_matching.py
@@ -7,9 +7,9 @@
 from nose2.tools import params
 
 from quetzalwall.connection.endpoint_client import (
-    EndpointRequest,
     create_endpoint_client,
 )
+from quetzalwall.connection.endpoint_request import EndpointRequest
 from quetzalwall.connection.product_dialect import PRODUCT_DIALECT
 from quetzalwall.connection.tests.test_endpoint_client import (
     ID_HEADER,
--- a/quetzalwall/platform/store.py
+++ b/quetzalwall/platform/store.py
@@ -99,6 +99,11 @@
         self._client = create_json_client(host, port, STORE_PEER, timeout_s, size=8)
         self.timeout_s = timeout_s
 
+    @property
+    def exchanged_bytes(self):
+        """Length of all bodies exchanged with the store so far."""
+        return self._client.exchanged_bytes
+
     def read(self, table):
         """Return all rows of a table that have an empty part.
 
--- a/quetzalwall/process/cluster/endpoint_state.py
+++ b/quetzalwall/process/cluster/endpoint_state.py
@@ -2,6 +2,7 @@
 
 import math
 from collections import OrderedDict
+from functools import partial
 
 from quetzalwall.connection.endpoint_client import create_endpoint_client
 
@@ -334,7 +335,9 @@
         self._avoid_until = max(self._avoid_until, now + SHED_AVOID_S)
 
 
-def create_endpoint_state(entry, region, parse_response, monotonic, connection_limiter):
+def create_endpoint_state(
+    entry, region, parse_response, monotonic, connection_limiter, traffic=None
+):
     """Return the state of a newly registered endpoint.
 
     Parameters
@@ -349,6 +352,8 @@
         Clock in seconds.
     connection_limiter : ConnectionLimiter
         Limits the connections to all endpoints together.
+    traffic : TrafficMeter, default=None
+        Counts the bytes exchanged with it; None counts none.
 
     Returns
     -------
@@ -358,4 +363,6 @@
         entry.name, entry.host, entry.port, parse_response, monotonic
     )
     client.limiter = connection_limiter
+    if traffic is not None:
+        client.count_bytes = partial(traffic.record, region=region, domain=entry.domain)
     return EndpointState(entry, region, client, monotonic())
--- a/quetzalwall/process/cluster/endpoint_table.py
+++ b/quetzalwall/process/cluster/endpoint_table.py
@@ -1,19 +1,13 @@
 """All registered endpoints, indexed by identity, service and address."""
 
-from collections import OrderedDict
-from heapq import nsmallest
-
-import xxhash
-
 from quetzalwall.connection.connection_limiter import ConnectionLimiter
 from quetzalwall.logs import get_logger, log_event
 from quetzalwall.process.cluster.endpoint_code import endpoint_code
 from quetzalwall.process.cluster.endpoint_state import create_endpoint_state
+from quetzalwall.process.cluster.object_ranks import ObjectRanks
 
-__all__ = ["ENDPOINTS_PER_OBJECT", "EndpointTable", "create_endpoint_table"]
+__all__ = ["EndpointTable", "create_endpoint_table"]
 
-ENDPOINTS_PER_OBJECT = 3  # that should cache an object which none has cached yet
-MAX_CACHED_RANKS = 4096  # bounded, since callers choose the object keys
 EXPIRY_GRACE_S = 2.0  # the platform says that expired entries are back by then
 LOG = get_logger("endpoints")
 
@@ -36,6 +30,8 @@
         Failure domains whose endpoints get no requests.
     connection_limiter : ConnectionLimiter
         Limits the connections to all endpoints together.
+    traffic : TrafficMeter or None
+        Counts the bytes exchanged with endpoints; None counts none.
     removal_count : int
         Increases with each endpoint that is removed.
     """
@@ -44,13 +40,14 @@
         self.domains = domains
         self.evacuated = set()
         self.connection_limiter = ConnectionLimiter()
+        self.traffic = None
         self._parse_response = parse_response
         self._monotonic = monotonic
         self._states = {}
         self._by_service = {}
         self._by_address = {}
         self._routable = {}
-        self._ranks = OrderedDict()
+        self._ranks = ObjectRanks()
         self._by_code = {}
         self._expired = set()
         self.removal_count = 0
@@ -164,19 +161,11 @@
         dict of str to int
             Rank by identity, from 0 to at most `ENDPOINTS_PER_OBJECT` - 1.
         """
-        key = (service, object_key)
-        ranks = self._ranks.get(key)
+        ranks = self._ranks.get(service, object_key)
         if ranks is not None:
-            self._ranks.move_to_end(key)
             return ranks
         names = [state.name for state in self.routable_endpoints(service)]
-        first = nsmallest(
-            ENDPOINTS_PER_OBJECT, names, key=lambda name: _weight(object_key, name)
-        )
-        ranks = self._ranks[key] = {name: rank for rank, name in enumerate(first)}
-        if len(self._ranks) > MAX_CACHED_RANKS:
-            self._ranks.popitem(last=False)
-        return ranks
+        return self._ranks.add(service, object_key, names)
 
     def put(self, entry, log=True):
         """Add or update an endpoint by its registry entry.
@@ -319,6 +308,7 @@
             self._parse_response,
             self._monotonic,
             self.connection_limiter,
+            self.traffic,
         )
         if old is not None:
             old.registered = False
@@ -357,8 +347,7 @@
 
     def _invalidate_routable(self, service):
         self._routable.pop(service, None)
-        if self._ranks:
-            self._ranks.clear()
+        self._ranks.clear()
 
 
 def _discard(index, key, name):
@@ -368,10 +357,6 @@
         del index[key]
 
 
-def _weight(object_key, name):
-    return xxhash.xxh64_intdigest(f"{object_key}/{name}".encode())
-
-
 def _log_change(event, entry):
     log_event(
         LOG,
--- a/quetzalwall/process/cluster/fleet.py
+++ b/quetzalwall/process/cluster/fleet.py
@@ -62,6 +62,8 @@
         Version of the last change known of each table.
     read_versions : dict of str to int
         Version of the store up to which each table has been read.
+    traffic : TrafficMeter or None
+        Counts the bytes of reports; None counts none.
     table_updates : TableUpdates
         What other instances report of the tables.
     """
@@ -72,6 +74,7 @@
         self.reaches_store = True
         self.table_versions = {}
         self.read_versions = {}
+        self.traffic = None
         self.table_updates = TableUpdates()
         self._port = port
         self._endpoint_stats = EndpointStats(endpoints)
@@ -93,7 +96,11 @@
     def start(self):
         """Start sending and receiving reports."""
         self._socket = PeerSocket(
-            self.own_info.host, self._port, self._on_report, self._read_delay_s
+            self.own_info.host,
+            self._port,
+            self._on_report,
+            self._read_delay_s,
+            self.traffic,
         )
         self._task = repeat(self._report, MIN_REPORT_PERIOD_S)
 
--- a/quetzalwall/process/cluster/peer_socket.py
+++ b/quetzalwall/process/cluster/peer_socket.py
@@ -28,10 +28,13 @@
     read_delay_s : callable
         Returns the seconds for which datagrams may wait; a delay saves wake-ups where
         many arrive.
+    traffic : TrafficMeter or None
+        Counts the bytes sent; None counts none.
     """
 
-    def __init__(self, host, port, on_report, read_delay_s):
+    def __init__(self, host, port, on_report, read_delay_s, traffic):
         self._port = port
+        self._traffic = traffic
         self._on_report = on_report
         sock = gevent.socket.socket(gevent.socket.AF_INET, gevent.socket.SOCK_DGRAM)
         try:
@@ -64,6 +67,9 @@
                 self._sock.sendto(raw, (info.host, self._port))
             except OSError as exc:
                 log_event(LOG, "not-sent", "warning", peer=info.host, reason=str(exc))
+                continue
+            if self._traffic is not None:
+                self._traffic.record("report", len(raw), info.region, info.domain)
 
     def _receive(self):
         gevent.socket.wait_read(self._sock.fileno())
--- a/quetzalwall/process/front.py
+++ b/quetzalwall/process/front.py
@@ -24,47 +24,32 @@
     read_settings,
 )
 from quetzalwall.platform.store import create_store_client
-from quetzalwall.process.cluster.cluster_state import (
-    PLATFORM_TABLES,
-    TREE_TABLES,
-    create_cluster_state,
-)
-from quetzalwall.process.cluster.endpoint_table import create_endpoint_table
-from quetzalwall.process.cluster.fleet import create_fleet
-from quetzalwall.process.cluster.peer_report import PeerInfo
+from quetzalwall.process.cluster.cluster_state import PLATFORM_TABLES, TREE_TABLES
 from quetzalwall.process.cluster.peer_tables import create_peer_tables
 from quetzalwall.process.cluster.store_watch import create_table_watch
 from quetzalwall.process.front_interfaces import create_interfaces
 from quetzalwall.process.front_metrics import create_front_metrics
-from quetzalwall.process.limits.cold_start_limiter import create_cold_start_limiter
-from quetzalwall.process.limits.fleet_limits import FleetLimits
-from quetzalwall.process.limits.retry_budget import create_retry_budget
-from quetzalwall.process.limits.traffic_shifts import create_traffic_shifts
-from quetzalwall.process.limits.weighted_split import create_weighted_split
+from quetzalwall.process.front_parts import (
+    NO_TREE,
+    create_cluster,
+    create_serving,
+    create_tree_parts,
+)
 from quetzalwall.process.listeners import open_in_background, open_listener
 from quetzalwall.process.registration import register, unregister
 from quetzalwall.process.resource_budget import (
     create_memory_budget,
     max_connections,
-    max_endpoint_connections,
 )
 from quetzalwall.process.self_watch import CHECK_PERIOD_S, create_self_watch
-from quetzalwall.process.storage.settings_admin import create_settings_admin
-from quetzalwall.process.storage.store_table import create_store_table
-from quetzalwall.process.storage.write_batcher import create_write_batcher
 from quetzalwall.process.tasks import repeat
-from quetzalwall.request.claim import create_claims
-from quetzalwall.request.endpoint_chooser import create_chooser
-from quetzalwall.request.grace_period import create_grace_period
-from quetzalwall.request.latency_model import create_latency_model
-from quetzalwall.request.request_reader import create_request_reader
-from quetzalwall.request.request_server import create_request_server
 
 __all__ = ["Front", "create_front", "run_front"]
 
 TICK_PERIOD_S = 0.5
 SETTINGS_PERIOD_S = 1.0
 EVICTION_PERIOD_S = 0.25  # callers abandon a connection that waits 1 s to be accepted
+TRAFFIC_PERIOD_S = 10.0  # between two log lines of the bytes exchanged so far
 EXPIRY_PERIOD_S = 0.25  # an expired entry removed this late is still within its bound
 STORE_TIMEOUT_S = 1.2
 MIN_STOP_FRACTION = 0.7  # of the grace period: a planned stop lasts at least this long
@@ -73,7 +58,6 @@
 FINAL_REQUESTS_S = 0.1  # for requests on the connections that were accepted last
 FINAL_ACCEPT_ROUNDS = 4  # each evicts idle connections so that others are accepted
 SIGHUP, SIGINT, SIGTERM = 1, 2, 15
-PROCESS_BITS = 48  # of the random number that identifies a process
 LOG = get_logger("front")
 
 
@@ -101,70 +85,28 @@
         self.rng = rng
         self._stopped = gevent.event.Event()
         now = clock.monotonic
-        info = PeerInfo(
-            settings.instance,
-            settings.region,
-            settings.domain,
-            settings.address,
-            settings.link_mbps,
-        )
         from_tree = settings.config_source == FROM_TREE
         dialect = PRODUCT_DIALECT if from_tree else PLATFORM_DIALECT
-        self.endpoints = create_endpoint_table(
-            settings.domains, dialect.parse_response, now
-        )
-        self.endpoints.connection_limiter.max_open = max_endpoint_connections(
-            settings.descriptors
-        )
-        self.fleet = create_fleet(
-            info, settings.peer_port, self.endpoints, now, rng.getrandbits(PROCESS_BITS)
-        )
-        self.cluster_state = create_cluster_state(
-            self.endpoints, self.fleet, TREE_TABLES if from_tree else PLATFORM_TABLES
-        )
+        tables = TREE_TABLES if from_tree else PLATFORM_TABLES
+        cluster = create_cluster(settings, dialect, tables, rng, now)
+        self.endpoints, self.fleet, self.cluster_state, self.traffic = cluster
         self.cluster_state.on_configuration = self._apply_configuration
         self._peer_tables = create_peer_tables(
             self.fleet, settings.listen.peers[1], lambda: self.settings.seeds, rng, now
         )
         self.memory_budget = create_memory_budget(settings.memory_mb)
         self.metrics = create_front_metrics()
-        self.limits = FleetLimits(
-            create_retry_budget(settings.bounds),
-            create_cold_start_limiter(settings.instance, settings.bounds),
-            create_weighted_split(rng),
-            create_traffic_shifts(self.endpoints, self.fleet, rng, now),
-        )
-        self._grace = create_grace_period(now)
-        latency = create_latency_model(settings.region)
-        chooser = create_chooser(
-            self.endpoints, latency, self.limits.cold_start_limiter, self.fleet, rng
-        )
         self._store = create_store_client(*settings.store, STORE_TIMEOUT_S)
-        self.settings_admin = self._batcher = claims = None
+        tree = NO_TREE
         if from_tree:
-            table = create_store_table(self._store)
-            self.settings_admin = create_settings_admin(
-                self.cluster_state, table, clock
+            tree = create_tree_parts(
+                settings, self.cluster_state, self._store, clock, rng
             )
-            self._batcher = create_write_batcher(table, clock, rng)
-            claims = create_claims(
-                self._batcher, clock, settings.instance, spawn=gevent.spawn
-            )
-        self._reader = create_request_reader(
-            dialect, self.cluster_state, self.limits.split
-        )
-        self.server = create_request_server(
-            dialect,
-            self._reader,
-            self.cluster_state,
-            chooser,
-            latency,
-            self.limits,
-            claims,
-            self.metrics,
-            self._grace,
-            now,
+        self.settings_admin, self._batcher, claims = tree
+        serving = create_serving(
+            settings, dialect, cluster, claims, self.metrics, rng, now
         )
+        self.limits, self._grace, self._reader, self.server = serving
         self.self_watch = create_self_watch(settings.memory_mb, self._usage, now)
         self._watches = {
             table: self._create_watch(table) for table in self.cluster_state.tables
@@ -216,6 +158,7 @@
             repeat(self.self_watch.look, CHECK_PERIOD_S),
             repeat(self._make_room, EVICTION_PERIOD_S),
             repeat(self.endpoints.drop_lapsed, EXPIRY_PERIOD_S),
+            repeat(self._log_traffic, TRAFFIC_PERIOD_S),
         ]
         log_event(
             LOG,
@@ -342,6 +285,21 @@
                 lambda name: self.endpoints.get(name) is not None
             )
 
+    def exchanged_bytes(self):
+        """Return the bytes exchanged with endpoints, peers and the store so far.
+
+        Returns
+        -------
+        dict of (str, str) to int
+            By kind and distance, as of `TrafficMeter`; the store's is unknown.
+        """
+        return self.traffic.totals | {("store", "unknown"): self._store.exchanged_bytes}
+
+    def _log_traffic(self):
+        totals = sorted(self.exchanged_bytes().items())
+        fields = {f"{kind}_{distance}": size for (kind, distance), size in totals}
+        log_event(LOG, "traffic", **fields)
+
     def _make_room(self):
         for name, server in self._servers.items():
             if ended := server.idle.evict(server.pool):
--- a/quetzalwall/process/front_interfaces.py
+++ b/quetzalwall/process/front_interfaces.py
@@ -172,7 +172,12 @@
         exported = front.cluster_state.export(table, int(after))
     if exported is None:
         return json_response(start_response, 404, {"error": "not known here"})
-    return json_response(start_response, 200, exported)
+    body = json_response(start_response, 200, exported)
+    for peer in front.fleet.peers():
+        if peer.info.host == environ["REMOTE_ADDR"]:
+            size = len(body[0])
+            front.traffic.record("table", size, peer.info.region, peer.info.domain)
+    return body
 
 
 def _serve_metrics(front, environ, start_response):
@@ -184,6 +189,7 @@
     front.metrics.set_gauge("held_bytes", front.memory_budget.used_bytes)
     front.metrics.set_gauge("resident_bytes", front.self_watch.rss_bytes)
     front.metrics.set_gauge("event_loop_held_seconds", front.self_watch.loop_lag_s)
+    front.metrics.set_exchanged_bytes(front.exchanged_bytes())
     raw = front.metrics.render()
     content_type = "text/plain; version=0.0.4; charset=utf-8"
     headers = [("Content-Type", content_type), ("Content-Length", str(len(raw)))]
--- a/quetzalwall/process/front_metrics.py
+++ b/quetzalwall/process/front_metrics.py
@@ -24,6 +24,8 @@
         self._diversions = self._counter("limited_elsewhere", ["service"])
         self._lookups = self._counter("lookups", [])
         self._dropped = self._counter("dropped", [])
+        self._exchanged_bytes = self._counter("exchanged_bytes", ["kind", "distance"])
+        self._exported_bytes = {}
         self._durations = Histogram(
             "quetzalwall_request_seconds",
             "From a request's arrival to its answer",
@@ -83,6 +85,19 @@
         """Count a request behind the response that closed its connection."""
         self._dropped.inc()
 
+    def set_exchanged_bytes(self, totals):
+        """Set the counters of the bytes exchanged with other processes.
+
+        Parameters
+        ----------
+        totals : dict of (str, str) to int
+            As of `TrafficMeter`.
+        """
+        for (kind, distance), size in totals.items():
+            child = self._child(self._exchanged_bytes, kind, distance)
+            child.inc(size - self._exported_bytes.get((kind, distance), 0))
+            self._exported_bytes[kind, distance] = size
+
     def prune_routes(self, routes):
         """Remove the metrics of routes that no longer exist.
 
@@ -93,9 +108,9 @@
         """
         for key in list(self._children):
             metric, labels = key
-            if metric in (self._failed_attempts, self._diversions) or not labels[0]:
+            if metric not in (self._responses, self._rejections, self._durations):
                 continue
-            if labels[0] not in routes:
+            if labels[0] and labels[0] not in routes:
                 del self._children[key]
                 metric.remove(*labels)
 
--- a/quetzalwall/request/endpoint_chooser.py
+++ b/quetzalwall/request/endpoint_chooser.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 from quetzalwall.logs import get_logger, log_event
-from quetzalwall.process.cluster.endpoint_table import ENDPOINTS_PER_OBJECT
+from quetzalwall.process.cluster.object_ranks import ENDPOINTS_PER_OBJECT
 from quetzalwall.process.limits.share import even_share
 from quetzalwall.request.candidate_sample import sample_candidates
 from quetzalwall.request.choice import STOPPING, Choice, Rejection
--- a/quetzalwall/request/request_server.py
+++ b/quetzalwall/request/request_server.py
@@ -8,7 +8,7 @@
 from quetzalwall.connection.caller_connection import (
     CallerLeft,
 )
-from quetzalwall.connection.endpoint_client import EndpointRequest
+from quetzalwall.connection.endpoint_request import EndpointRequest
 from quetzalwall.connection.http_server import BadRequest
 from quetzalwall.exceptions import (
     EndpointError,
