Name the sender in one report a second, report less often to other regions

Every report, ten a second to each peer of a small fleet, repeated the names, domain and address of its sender: most of its 100 to 150 bytes. Reports between regions were two thirds of all bytes between regions of a small fleet.

Reports name their sender once a second, to new or restarted peers and to unresponsive ones; others are recognised by the process. Peers of other regions get a report each 0.25 s at most.

--- a/quetzalwall/process/cluster/fleet.py
+++ b/quetzalwall/process/cluster/fleet.py
@@ -5,20 +5,22 @@
 """
 
 import math
-from bisect import insort
 
 from quetzalwall.logs import get_logger, log_event
 from quetzalwall.process.cluster.endpoint_code import endpoint_code
 from quetzalwall.process.cluster.endpoint_stats import EndpointStats
 from quetzalwall.process.cluster.members import Members, is_member
+from quetzalwall.process.cluster.peer_order import PeerOrder
 from quetzalwall.process.cluster.peer_report import Peer, PeerReport, is_newer
 from quetzalwall.process.cluster.peer_socket import PeerSocket
 from quetzalwall.process.cluster.report_group import (
     LOOKUP_TIMEOUT_S,
     MIN_REPORT_PERIOD_S,
+    NEW_PEER_S,
     UNRESPONSIVE_AFTER_S,
     ReportGroup,
 )
+from quetzalwall.process.cluster.sender_identities import SenderIdentities
 from quetzalwall.process.cluster.table_updates import TableUpdates
 from quetzalwall.process.tasks import repeat
 
@@ -30,7 +32,6 @@
 READ_DELAY_FRACTION = 0.1  # of a peer's report period, for which a datagram may wait
 MIN_READ_DELAY_S = 0.03  # a shorter delay saves no wake-ups
 SELF_STALL_S = 1.0  # after a longer stall of this process, missing reports mean nothing
-PROBE_INTERVAL_S = 1.0  # between reports to an unresponsive peer
 LOG = get_logger("fleet")
 
 
@@ -83,7 +84,8 @@
         self._sequence = 0
         self._last_check_at = None
         self._next_timeout = -math.inf
-        self._peer_order = []
+        self._peer_order = PeerOrder()
+        self._identities = SenderIdentities()
         self._report_groups = (
             ReportGroup(True, LOCAL_DATAGRAMS_PER_S),
             ReportGroup(False, REMOTE_DATAGRAMS_PER_S),
@@ -206,27 +208,30 @@
         now : float
             Monotonic seconds.
         """
-        name = report.sender.name
-        if name == self.own_info.name:
+        sender = self._identities.identify(report)
+        if sender is None or sender.name == self.own_info.name:
             return
-        peer = self._peers.get(name)
+        peer = self._peers.get(sender.name)
         if peer is None:
-            peer = self._add_peer(report.sender)
+            peer = self._add_peer(sender)
         if not is_newer(report, peer):
             return
-        if peer.info != report.sender or not is_member(peer, now):
+        if peer.info != sender or not is_member(peer, now):
             self._members.invalidate()
-        if peer.info.region != report.sender.region:
+        if peer.info.region != sender.region:
             self._resize_group(peer.info, -1)
-            self._resize_group(report.sender, 1)
-        peer.info = report.sender
+            self._resize_group(sender, 1)
+        peer.info = sender
+        if peer.unresponsive or report.process_id != peer.process_id:
+            self._group(sender).new_peer_until = now + NEW_PEER_S
         if report.process_id != peer.process_id:
+            self._identities.replace(peer.former_process_id, report)
             peer.former_process_id, peer.process_id = peer.process_id, report.process_id
         peer.sequence = report.sequence
         if peer.unresponsive:
-            log_event(LOG, "heard", peer=name, domain=peer.info.domain)
+            log_event(LOG, "heard", peer=sender.name, domain=sender.domain)
         if report.leaving and not peer.leaving:
-            log_event(LOG, "leaving", peer=name)
+            log_event(LOG, "leaving", peer=sender.name)
         peer.leaving = report.leaving
         peer.reaches_store = report.reaches_store
         peer.table_versions = report.table_versions
@@ -252,23 +257,18 @@
         due = []
         for group in self._report_groups:
             if now - group.last_sent_at > group.period_s() - MIN_REPORT_PERIOD_S / 2:
-                due.append(
-                    (self._build_report(group, now), self._recipients(group, now))
+                peers = (
+                    p for p in self._peers.values() if self._group(p.info) is group
                 )
+                recipients = group.recipients(peers, now)
+                due.append((self._build_report(group, now), recipients))
                 group.last_sent_at = now
                 group.cached.clear()
         return due
 
-    def _recipients(self, group, now):
-        recipients = []
-        for peer in self._peers.values():
-            if (peer.info.region == self.own_info.region) != group.same_region:
-                continue
-            if peer.unresponsive and now - peer.last_sent_at < PROBE_INTERVAL_S:
-                continue
-            peer.last_sent_at = now
-            recipients.append(peer.info)
-        return recipients
+    def _peers_of(self, group):
+        region, same = self.own_info.region, group.same_region
+        return [p for p in self._peers.values() if (p.info.region == region) == same]
 
     def peers(self):
         """Return the known other instances.
@@ -286,10 +286,7 @@
         ------
         Peer
         """
-        own_code = endpoint_code(self.own_info.name)
-        for code, name in self._peer_order:
-            if code >= own_code:
-                return
+        for name in self._peer_order.preceding(self.own_info.name):
             yield self._peers[name]
 
     def check_timeouts(self, now):
@@ -334,16 +331,17 @@
     def _add_peer(self, info):
         peer = self._peers[info.name] = Peer(info)
         self._resize_group(info, 1)
-        insort(self._peer_order, (endpoint_code(info.name), info.name))
+        self._peer_order.add(info.name)
         return peer
 
     def _resize_group(self, info, change):
-        same_region = info.region == self.own_info.region
-        for group in self._report_groups:
-            if group.same_region == same_region:
-                group.peers += change
+        self._group(info).peers += change
         self._next_timeout = -math.inf
 
+    def _group(self, info):
+        local, remote = self._report_groups
+        return local if info.region == self.own_info.region else remote
+
     def report_period_s(self):
         """Return the report period of the peers that report most often.
 
@@ -373,7 +371,7 @@
             group.last_sent_at, now
         )
         return PeerReport(
-            self.own_info,
+            self.own_info if group.names_sender(now) else None,
             self._process_id,
             self._sequence,
             self.leaving,
--- a/quetzalwall/process/cluster/peer_report.py
+++ b/quetzalwall/process/cluster/peer_report.py
@@ -44,8 +44,8 @@
 
     Attributes
     ----------
-    sender : PeerInfo
-        The sender.
+    sender : PeerInfo or None
+        The sender; None if an earlier report of the process has named it.
     process_id : int
         Random number drawn when the sender's process started.
     sequence : int
@@ -71,7 +71,7 @@
         `AdvertisedLimit.own_report`.
     """
 
-    sender: PeerInfo
+    sender: PeerInfo | None
     process_id: int
     sequence: int
     leaving: bool
--- a/quetzalwall/process/cluster/report_group.py
+++ b/quetzalwall/process/cluster/report_group.py
@@ -6,11 +6,18 @@
 __all__ = [
     "LOOKUP_TIMEOUT_S",
     "MIN_REPORT_PERIOD_S",
+    "NEW_PEER_S",
     "UNRESPONSIVE_AFTER_S",
     "ReportGroup",
 ]
 
 MIN_REPORT_PERIOD_S = 0.1
+# Peers of other regions act on each other's endpoints a round trip of some 70 ms late
+# in any case.
+MIN_REMOTE_REPORT_PERIOD_S = 0.25
+PROBE_INTERVAL_S = 1.0  # between reports to an unresponsive peer
+IDENTITY_PERIOD_S = 1.0  # between two reports that name their sender
+NEW_PEER_S = 1.0  # for so long each report to the group of a new peer names its sender
 UNRESPONSIVE_AFTER_S = 1.5  # without a report, where peers report often
 UNRESPONSIVE_PERIODS = 6  # periods without a report, where that is longer
 # Look-ups leave out an instance without a report for so long; it may still be running.
@@ -34,6 +41,8 @@
         Number of peers in the group.
     last_sent_at : float
         Monotonic seconds of the last report to the group.
+    new_peer_until : float
+        Monotonic seconds until which a peer in the group counts as new.
     cached : deque of (int, int)
         Code of an endpoint and hash of an object's key, to announce in the next report.
     """
@@ -42,6 +51,8 @@
         self.same_region = same_region
         self.peers = 0
         self.last_sent_at = -math.inf
+        self.new_peer_until = -math.inf
+        self._identified_at = -math.inf
         self.cached = deque(maxlen=MAX_CACHED_PER_REPORT)
         self._max_datagrams_per_s = max_datagrams_per_s
 
@@ -52,7 +63,54 @@
         -------
         float
         """
-        return max(MIN_REPORT_PERIOD_S, self.peers / self._max_datagrams_per_s)
+        shortest_s = MIN_REMOTE_REPORT_PERIOD_S
+        if self.same_region:
+            shortest_s = MIN_REPORT_PERIOD_S
+        return max(shortest_s, self.peers / self._max_datagrams_per_s)
+
+    def names_sender(self, now):
+        """Return whether the report that is sent now names its sender.
+
+        The names and the address of the sender are most of a small report, so only some
+        reports contain them: those to new peers, and one each `IDENTITY_PERIOD_S`.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        bool
+        """
+        if now > self.new_peer_until and now < self._identified_at + IDENTITY_PERIOD_S:
+            return False
+        self._identified_at = now
+        return True
+
+    def recipients(self, peers, now):
+        """Return the peers that get the report that is sent now, and record that.
+
+        Parameters
+        ----------
+        peers : iterable of Peer
+            The peers in the group.
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        list of PeerInfo
+        """
+        recipients = []
+        for peer in peers:
+            if peer.unresponsive:
+                if now - peer.last_sent_at < PROBE_INTERVAL_S:
+                    continue
+                self.new_peer_until = max(self.new_peer_until, now)
+            peer.last_sent_at = now
+            recipients.append(peer.info)
+        return recipients
 
     def timeout_s(self):
         """Return the seconds without a report after which a peer is unresponsive.
