Prefer the own failure domain, and take malformed input as what it is

Choice: forwarded bodies were five sixths of the bytes between the failure domains of a region, half of all requests, since endpoints of the region cost the same wherever they were. Those of another domain now cost 0.08 s more, a little over the bonus of a preferred endpoint, so that an object is cached where it is requested first; those of another region 0.1 s (0.05 before).

--- a/quetzalwall/cli/client.py
+++ b/quetzalwall/cli/client.py
@@ -3,6 +3,7 @@
 import json
 import os
 
+from quetzalwall.connection.digits import is_decimal
 from quetzalwall.connection.json_client import create_json_client
 from quetzalwall.exceptions import PeerError
 
@@ -129,7 +130,7 @@
         ``address`` is malformed.
     """
     host, _, port = address.partition(":")
-    if not port.isdigit():
+    if not is_decimal(port):
         raise CommandError(
             f"--instance: {address!r} is not IP:PORT", EXIT_INVALID_INPUT
         )
--- a/quetzalwall/connection/caller_connection.py
+++ b/quetzalwall/connection/caller_connection.py
@@ -5,6 +5,7 @@
 import gevent
 import gevent.socket
 
+from quetzalwall.connection.digits import is_decimal
 from quetzalwall.connection.http_server import BadRequest
 
 __all__ = ["CallerLeft", "NoMemory", "is_closed", "read_body"]
@@ -46,7 +47,7 @@
         The memory budget has no room for the body.
     """
     length = environ.get("CONTENT_LENGTH", "")
-    if length.isdigit() and int(length) > max_bytes:
+    if is_decimal(length) and int(length) > max_bytes:
         raise BadRequest(413, f"body is longer than {max_bytes} bytes")
     if not length and "HTTP_TRANSFER_ENCODING" not in environ:
         return b""
--- a/quetzalwall/connection/http_server.py
+++ b/quetzalwall/connection/http_server.py
@@ -8,6 +8,7 @@
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIHandler
 
+from quetzalwall.connection.digits import is_decimal
 from quetzalwall.connection.idle_connections import IdleConnections
 from quetzalwall.connection.nodelay import NoDelayServer
 from quetzalwall.connection.yielding_socket import YIELD_SLEEP_S
@@ -237,7 +238,7 @@
     length = environ.get("CONTENT_LENGTH")
     if not length:
         raise BadRequest(411, "a body with Content-Length is required")
-    if not length.isdigit() or int(length) > limits.max_json_bytes:
+    if not is_decimal(length) or int(length) > limits.max_json_bytes:
         raise BadRequest(413, f"body is longer than {limits.max_json_bytes} bytes")
     raw = environ["wsgi.input"].read(int(length))
     try:
--- a/quetzalwall/connection/product_dialect.py
+++ b/quetzalwall/connection/product_dialect.py
@@ -15,6 +15,7 @@
     combine_headers,
     forwarded_headers,
 )
+from quetzalwall.connection.digits import is_decimal
 from quetzalwall.connection.http_server import BadRequest
 from quetzalwall.request.response import Response
 
@@ -46,7 +47,7 @@
 
 def _parse_request(environ):
     text = environ.get("HTTP_X_DEADLINE_MS")
-    if text is not None and not (text.isdigit() and len(text) <= MAX_DEADLINE_DIGITS):
+    if text is not None and not (is_decimal(text) and len(text) <= MAX_DEADLINE_DIGITS):
         raise BadRequest(400, f"{DEADLINE_HEADER} is not a number: {text[:40]}")
     key = environ.get("HTTP_IDEMPOTENCY_KEY", "")
     if len(key) > MAX_KEY_CHARACTERS or not key.isprintable():
--- a/quetzalwall/platform/deploy.py
+++ b/quetzalwall/platform/deploy.py
@@ -64,13 +64,23 @@
         ]
     for name, role in roles.items():
         faults += _role_faults(file, f"/roles/{name}", role)
-    served = {kind for role in roles.values() for kind in role.get("serves", ())}
+    served = {kind for role in roles.values() for kind in _served_kinds(role)}
     for kind in sorted({"front", "directory"} - served):
         faults.append(Fault(file, "/roles", kind, "not served by any role"))
     return faults
 
 
+def _served_kinds(role):
+    """Return the texts that a role lists under ``serves``."""
+    kinds = role.get("serves") if isinstance(role, dict) else None
+    if not isinstance(kinds, list):
+        return []
+    return [kind for kind in kinds if isinstance(kind, str)]
+
+
 def _role_faults(file, path, role):
+    if not isinstance(role, dict):
+        return [Fault(file, path, str(role), "must be a table")]
     faults = []
     for key in ("run", "on", "serves"):
         if key not in role:
@@ -83,7 +93,8 @@
             faults.append(
                 Fault(file, f"{path}/{key}", str(value), f"must be of type {kind}")
             )
-    for kind in role.get("serves", ()):
-        if kind not in SERVED_KINDS:
+    serves = role.get("serves", ())
+    for kind in serves if isinstance(serves, list) else ():
+        if not isinstance(kind, str) or kind not in SERVED_KINDS:
             faults.append(Fault(file, f"{path}/serves", str(kind), "unknown value"))
     return faults
--- a/quetzalwall/platform/fields.py
+++ b/quetzalwall/platform/fields.py
@@ -26,6 +26,7 @@
     listen, limits = _get_dict(fields, "listen"), _get_dict(fields, "limits")
     address, domain = fields.get("ip"), fields.get("zone")
     domains = _get_dict(fields, "zones")
+    region = domains.get(domain) if isinstance(domain, str) else None
     addresses = {
         "callers": listen.get("front"),
         "health": listen.get("ready"),
@@ -36,7 +37,7 @@
     settings = {
         "instance": fields.get("nodeName"),
         "address": address,
-        "region": fields.get("region") or domains.get(domain) or domain,
+        "region": fields.get("region") or region or domain,
         "domain": domain,
         "domains": domains,
         "listen": {name: text for name, text in addresses.items() if text} or None,
--- a/quetzalwall/platform/headers.py
+++ b/quetzalwall/platform/headers.py
@@ -11,6 +11,7 @@
     combine_headers,
     forwarded_headers,
 )
+from quetzalwall.connection.digits import is_decimal
 from quetzalwall.connection.http_server import BadRequest
 from quetzalwall.request.response import Response, rejection_response
 
@@ -66,7 +67,7 @@
         The deadline is not a number.
     """
     text = environ.get("HTTP_X_QUETZALWALL_DEADLINE_MS")
-    if text is not None and not (text.isdigit() and len(text) <= 12):
+    if text is not None and not (is_decimal(text) and len(text) <= 12):
         raise BadRequest(400, f"{DEADLINE_HEADER} is not a number: {text[:40]}")
     return RequestMetadata(
         request_id=environ.get("HTTP_X_QUETZALWALL_REQUEST_ID", ""),
@@ -225,7 +226,7 @@
 def _parse_keep_alive_s(text):
     for part in text.split(","):
         name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.isdigit():
+        if name.lower() == "timeout" and is_decimal(value):
             return float(value)
     return None
 
--- a/quetzalwall/platform/store.py
+++ b/quetzalwall/platform/store.py
@@ -6,6 +6,7 @@
 
 from quetzalwall.connection.json_client import create_json_client
 from quetzalwall.exceptions import PeerError, StoreError, StoreUnavailable
+from quetzalwall.logs import get_logger, log_event
 
 __all__ = [
     "HistoryGone",
@@ -18,6 +19,7 @@
 
 STORE_PEER = "store"
 PAGE_ROWS = 500
+LOG = get_logger("store")
 
 
 class HistoryGone(StoreError):
@@ -127,12 +129,13 @@
             if start:
                 query["from"] = start
             body = self._get("/rows-get", query)
-            rows += [_decode_row(row) for row in body["rows"]]
+            page = _decode_rows(body["rows"])
+            rows += page
             first_version = body["ver"] if first_version is None else first_version
-            if not body.get("hasMore") or not body["rows"]:
+            if not body.get("hasMore") or not page:
                 return Rows(rows, first_version)
             # No key sorts between a key and the same key with a zero byte appended.
-            start = body["rows"][-1]["key"] + "\0"
+            start = page[-1].key + "\0"
 
     def follow(self, table, after, wait_s):
         """Return the changes of a table since a version.
@@ -159,7 +162,7 @@
         """
         query = {"table": table, "after": after, "waitMs": int(wait_s * 1000)}
         body = self._get("/rows-feed", query, wait_s)
-        return Rows([_decode_row(row) for row in body["rows"]], body["ver"])
+        return Rows(_decode_rows(body["rows"]), body["ver"])
 
     def put(self, table, key, value):
         """Write or remove one row unconditionally.
@@ -226,7 +229,7 @@
             No response arrived, or the store is rejecting calls.
         """
         query = {"table": table, "part": "", "from": first, "target": end}
-        return [_decode_row(row) for row in self._get("/rows-get", query)["rows"]]
+        return _decode_rows(self._get("/rows-get", query)["rows"])
 
     def transact(self, checks, writes, timeout_s=None):
         """Write rows atomically if other rows have the expected versions.
@@ -262,11 +265,16 @@
         }
         response = self._call("POST", "/rows-tx", body, timeout_s, accepted=(200, 412))
         result = response.body if isinstance(response.body, dict) else {}
-        rows = [(row["table"], _decode_row(row)) for row in result.get("rows") or ()]
+        rows = [
+            (row["table"], _decode_row(row))
+            for row in result.get("rows") or ()
+            if _is_row(row) and isinstance(row.get("table"), str)
+        ]
         present = [pair for pair in rows if pair[1].value is not None]
-        return TransactionResult(
-            response.status == 200, int(result.get("ver", 0)), present
-        )
+        version = result.get("ver", 0)
+        if not isinstance(version, int):
+            raise StoreUnavailable("answer has no version", "/rows-tx", STORE_PEER)
+        return TransactionResult(response.status == 200, version, present)
 
     def close(self):
         """Close all connections."""
@@ -303,8 +311,24 @@
     return {"table": table, "part": "", "key": key}
 
 
+def _decode_rows(rows):
+    """Return the rows that name a key and a version; the others are logged."""
+    valid = [row for row in rows if _is_row(row)]
+    if len(valid) < len(rows):
+        log_event(LOG, "bad-row", "warning", rows=len(rows) - len(valid))
+    return [_decode_row(row) for row in valid]
+
+
+def _is_row(row):
+    return (
+        isinstance(row, dict)
+        and isinstance(row.get("key"), str)
+        and isinstance(row.get("ver", 0), int)
+    )
+
+
 def _decode_row(row):
-    version = int(row.get("ver", 0))
+    version = row.get("ver", 0)
     if row.get("removed"):
         return RowChange(row["key"], None, version)
     try:
--- a/quetzalwall/process/front_interfaces.py
+++ b/quetzalwall/process/front_interfaces.py
@@ -3,6 +3,7 @@
 from functools import partial
 from urllib.parse import parse_qs
 
+from quetzalwall.connection.digits import is_decimal
 from quetzalwall.connection.http_server import (
     BadRequest,
     HttpLimits,
@@ -168,7 +169,7 @@
     table = environ["PATH_INFO"].removeprefix("/tables/")
     after = parse_qs(environ["QUERY_STRING"]).get("after", ["0"])[0]
     exported = None
-    if table in front.cluster_state.tables and after.isdigit():
+    if table in front.cluster_state.tables and is_decimal(after):
         exported = front.cluster_state.export(table, int(after))
     if exported is None:
         return json_response(start_response, 404, {"error": "not known here"})
--- a/quetzalwall/process/limits/cold_start_limiter.py
+++ b/quetzalwall/process/limits/cold_start_limiter.py
@@ -1,5 +1,7 @@
 """Limit the rate at which one instance sends requests to cold endpoints."""
 
+import math
+
 from quetzalwall.process.limits.share import rate_share, rendezvous_order
 from quetzalwall.process.sliding_window import SlidingWindow
 
@@ -89,6 +91,8 @@
         bool
         """
         limit = per_s * self._bounds.cold_overage + self._bounds.cold_slack
+        if math.isinf(limit):
+            return True
         share = self._share(endpoint, limit, instances)
         return share > 0 and self._window(endpoint).total(now) + 1 <= share
 
--- a/quetzalwall/request/endpoint_chooser.py
+++ b/quetzalwall/request/endpoint_chooser.py
@@ -15,6 +15,7 @@
 from quetzalwall.request.candidate_sample import sample_candidates
 from quetzalwall.request.choice import STOPPING, Choice, Rejection
 from quetzalwall.request.latency_model import queueing_delay_s
+from quetzalwall.request.queueing_limits import create_queueing_limits
 
 __all__ = ["Chooser", "Choice", "Rejection", "create_chooser"]
 
@@ -27,9 +28,10 @@
 UNRESPONSIVE_RATIO = 1.5  # of the longest work; no response for longer: avoided
 MIN_UNRESPONSIVE_S = 1.0  # reports of other instances come up to half a second late
 UNTRIED_BONUS_S = 0.3  # off the cost of an idle endpoint that has served no objects yet
-LESS_URGENT_QUEUEING_RATIO = 0.5  # of the shortest target of more urgent routes
-MAX_QUEUEING_RATIO = 1.2  # of its own target, for a request of a most urgent route
-REMOTE_PENALTY_S = 0.05  # for traffic between regions
+REMOTE_PENALTY_S = 0.1  # for traffic between regions
+# For traffic between failure domains of a region; more than the bonus of a preferred
+# endpoint, so that objects are cached where they are requested most.
+OTHER_DOMAIN_PENALTY_S = 0.08
 FREE_FRACTION = 0.8  # of the slots; with fewer in use no queueing is expected
 COLD_SLOWNESS = 2.0  # factor on the work of a cold endpoint
 MAX_REQUESTS_PER_SLOT = 4.0  # in flight; from this number on an endpoint rejects
@@ -74,8 +76,8 @@
         self._fleet = fleet
         self._rng = rng
         self._region = fleet.own_info.region
-        self._max_queueing_cfg = None
-        self._max_queueing = {}
+        self._domain = fleet.own_info.domain
+        self._queueing_limits = create_queueing_limits()
 
     def choose(
         self,
@@ -240,6 +242,8 @@
             )
         if state.region != self._region:
             cost_s += REMOTE_PENALTY_S
+        elif state.entry.domain != self._domain:
+            cost_s += OTHER_DOMAIN_PENALTY_S
         if not ahead and state.served_no_objects():
             cost_s -= UNTRIED_BONUS_S
         if not connected:
@@ -254,20 +258,12 @@
         # Even a request with the least work would miss its deadline.
         if best.expected_s - best.slowness * saving_s > remaining_s:
             return Rejection("too late", retry_after_s)
-        if best.queueing_delay_s > self._max_queueing_s(cfg, route, service):
+        if best.queueing_delay_s > self._queueing_limits.max_s(cfg, route, service):
             return Rejection("overload", retry_after_s)
         if best.state.in_flight() >= MAX_REQUESTS_PER_SLOT * best.state.entry.slots:
             return Rejection("full", retry_after_s)
         return None
 
-    def _max_queueing_s(self, cfg, route, service):
-        if self._max_queueing_cfg is not cfg:
-            self._max_queueing_cfg, self._max_queueing = cfg, {}
-        key = (route.name, service)
-        if key not in self._max_queueing:
-            self._max_queueing[key] = _max_queueing_s(cfg, route, service)
-        return self._max_queueing[key]
-
     def _sample(self, states, preferred, region, object_key):
         usable = [s for s in map(self._endpoints.get, preferred) if s.usable()]
         near_region = region or self._region
@@ -336,23 +332,6 @@
         return self._cold_limiter.allows(state.name, service.cold_per_s, names, now)
 
 
-def _max_queueing_s(cfg, route, service):
-    """Return how long a request may queue without delaying more urgent ones.
-
-    An endpoint processes requests in order of arrival, so less urgent requests have to
-    be rejected before the queue makes more urgent ones late.
-    """
-    urgent_targets = [
-        other.target_s
-        for routes in cfg.hosts.values()
-        for other in routes
-        if other.rank < route.rank and any(name == service for name, _ in other.split)
-    ]
-    if urgent_targets:
-        return LESS_URGENT_QUEUEING_RATIO * min(urgent_targets)
-    return MAX_QUEUEING_RATIO * route.target_s
-
-
 def _is_avoided(state, limit_s, now):
     """Return whether an endpoint is avoided; avoid it from now on if unresponsive."""
     if state.avoided(now):
