Match a request to its route once, and log only delays by others

A connection that sends nothing ahead paid for what it did not use: events were made for each request, the route was looked up twice, and a request whose task began late under load got a line `in-turn` though nothing on its connection had delayed it. Events are made when something waits, the match of the admission is kept, and the line is written only for requests that waited for others.

--- a/quetzalwall/connection/exchange.py
+++ b/quetzalwall/connection/exchange.py
@@ -36,10 +36,10 @@
         Monotonic seconds at which its head had been read.
     began : float or None
         Monotonic seconds at which it was started.
+    waited : bool
+        Whether it had to wait for others before it was started.
     task : gevent.Greenlet or None
         The task that serves it; None if it is that of the connection.
-    turn : gevent.event.Event
-        Set when its response is the next one.
     responding : bool
         Whether its response is ready.
     complete : bool
@@ -65,8 +65,9 @@
         self._monotonic = monotonic
         self.idempotent = False
         self.arrived, self.began = monotonic(), None
+        self.waited = False
         self.task = None
-        self.turn = gevent.event.Event()
+        self._turn = None
         self.responding = self.complete = False
         self.reservation, self.extra_bytes = None, 0
         self.response_length = 0
@@ -106,6 +107,16 @@
         finally:
             self._connection.finish(self)
 
+    def start_delay_s(self):
+        """Return how long others on the connection delayed the start of the request.
+
+        Returns
+        -------
+        float
+            Seconds.
+        """
+        return self.began - self.arrived if self.waited else 0.0
+
     def await_turn(self):
         """Wait until the responses to all earlier requests have been sent.
 
@@ -120,6 +131,8 @@
             No response can be sent on the connection any more.
         """
         self.responding = True
+        if self._connection._pipeline.is_next(self):
+            return 0.0
         waited_since = self._monotonic()
         try:
             self._await_turn()
@@ -131,7 +144,13 @@
 
     def _await_turn(self):
         if not self._connection._pipeline.is_next(self):
-            self.turn.wait()
+            self._turn = gevent.event.Event()
+            self._turn.wait()
+
+    def begin_turn(self):
+        """Let the response be sent: all before it have been."""
+        if self._turn is not None:
+            self._turn.set()
 
     def await_room(self, size):
         """Wait until bytes for this request may be read.
--- a/quetzalwall/connection/front_server.py
+++ b/quetzalwall/connection/front_server.py
@@ -81,8 +81,8 @@
 
 def _await_turn(exchange, environ):
     """Wait for the earlier responses of the connection; log a delay."""
-    start_s = exchange.began - exchange.arrived
     response_s = exchange.await_turn()
+    start_s = exchange.start_delay_s()
     if start_s + response_s >= MIN_LOGGED_DELAY_S:
         request_id = environ.get(REQUEST_ID_KEY, "")
         log_event(
--- a/quetzalwall/connection/pipelined_handler.py
+++ b/quetzalwall/connection/pipelined_handler.py
@@ -66,7 +66,7 @@
         self._task = gevent.getcurrent()
         self._pipeline = create_pipeline()
         self._running = self._pipeline.running
-        self._changed = gevent.event.Event()
+        self._changed = None  # set when a request ends, while the task waits for that
         self._awaits_request = self._timed_out = False
         self._linger_timer = None
         try:
@@ -149,22 +149,26 @@
 
     def _await_admission(self, exchange):
         """Wait until a request may start, or must be dropped; return which."""
-        admission = Admission.WAIT
+        admission = self._admit(exchange)
 
         def decide():
             nonlocal admission
             admission = self._admit(exchange)
             return admission is not Admission.WAIT
 
-        self._await_change(decide)
+        if admission is Admission.WAIT:
+            exchange.waited = True
+            self._await_change(decide)
         return Admission.DROP if admission is Admission.WAIT else admission
 
     def _admit(self, exchange):
         policy = self.server.pipelining
         exchange.idempotent = policy.is_idempotent(exchange.environ)
         parallel = exchange.idempotent and not exchange.awaits_continue
+        if not self._running:
+            return self._pipeline.admit(parallel)
         admission = self._pipeline.admit(parallel, self.waiting_bytes())
-        if admission is Admission.START and self._running:
+        if admission is Admission.START:
             if not policy.memory_budget.try_reserve(EXCHANGE_BYTES):
                 return Admission.WAIT
             exchange.extra_bytes = EXCHANGE_BYTES
@@ -176,7 +180,7 @@
         The condition is checked after each end of a request.
         """
         while not condition():
-            self._changed.clear()
+            self._changed = gevent.event.Event()
             if not self._changed.wait(POLL_S) and is_closed(self.socket):
                 self._cancel_running(CallerLeft)
                 return
@@ -214,12 +218,13 @@
         if pipeline.broken:
             self._cancel_running(CallerLeft, block=False)
         if self._running:
-            self._running[0].turn.set()
+            self._running[0].begin_turn()
         elif pipeline.closing or pipeline.broken:
             self._end_output()
         elif self._awaits_request:
             self.server.idle.add(self.socket)
-        self._changed.set()
+        if self._changed is not None:
+            self._changed.set()
 
     def _remove(self, exchange):
         self._pipeline.finish(exchange, exchange.complete)
--- a/quetzalwall/process/tests/test_requests_sent_ahead.py
+++ b/quetzalwall/process/tests/test_requests_sent_ahead.py
@@ -172,6 +172,18 @@
         assert responses[2][2].split()[2] == b"4"
 
 
+def test_only_requests_that_waited_for_others_are_logged_as_delayed():
+    handler = logbook.TestHandler()
+    with roomy_site(work_s=0.05) as site, handler.applicationbound():
+        tasks = [gevent.spawn(site.get, "/look/1") for _ in range(20)]
+        gevent.joinall(tasks)
+        sock = connect(site)
+        sock.sendall(look("a") + book("b"))
+        read_responses(sock, 2)
+    lines = [r.message for r in handler.records if "event=in-turn" in r.message]
+    assert [line.partition("req=")[2].split()[0] for line in lines] == ["b"]
+
+
 def test_the_deadline_of_a_booking_counts_from_its_arrival():
     with roomy_site(1, 0.4) as site:
         sock = connect(site)
--- a/quetzalwall/request/request_reader.py
+++ b/quetzalwall/request/request_reader.py
@@ -10,7 +10,8 @@
 
 __all__ = ["Refused", "RequestReader", "create_request_reader"]
 
-CONFIG_KEY = "quetzalwall.configuration"  # of the WSGI environment
+# Of the WSGI environment: the active configuration and the route; None without one.
+MATCH_KEY = "quetzalwall.match"
 MAX_TIMEOUT_S = 30.0  # of a request, also if neither caller nor route sets one
 NO_CONFIG = Rejection("no configuration", 0.5)  # until one was read
 NO_ROOM_IN_MEMORY = Rejection("no memory", 1.0)  # while the memory budget is used up
@@ -59,7 +60,7 @@
 
         A request that gets no endpoint, as it matches no route, counts as idempotent.
         The configuration that decides this is also the one that the request is served
-        by if it is.
+        by, if it is read before this is asked again.
 
         Parameters
         ----------
@@ -71,13 +72,9 @@
         bool
         """
         cfg = self._cluster_state.configuration()
-        environ.pop(CONFIG_KEY, None)
-        if cfg is not None:
-            route = self._find_route(cfg, environ)
-            if route is not None and not route.idempotent:
-                return False
-        environ[CONFIG_KEY] = cfg
-        return True
+        route = None if cfg is None else self._find_route(cfg, environ)
+        environ[MATCH_KEY] = cfg, route
+        return route is None or route.idempotent
 
     def _find_route(self, cfg, environ):
         try:
@@ -94,7 +91,8 @@
         ----------
         environ : dict
             WSGI environment, with the exchange, the connection, the unchanged target
-            and the memory reservation of the request.
+            and the memory reservation of the request, which `is_idempotent` has
+            matched to a route.
 
         Returns
         -------
@@ -113,13 +111,11 @@
         metadata = self._dialect.parse_request(environ)
         environ["quetzalwall.request_id"] = metadata.request_id
         host, target = self._dialect.host_and_path(environ)
-        cfg = environ.get(CONFIG_KEY, self._cluster_state.configuration())
+        cfg, route = environ[MATCH_KEY]
         if cfg is None:
             raise Refused(metadata, "", NO_CONFIG)
-        method = environ["REQUEST_METHOD"]
-        path = target.partition("?")[0]
-        route = find_route(cfg, host, path, method)
         if route is None:
+            path = target.partition("?")[0]
             log_no_route(metadata, host, path, cfg.version)
             raise BadRequest(404, f"no route for {host}{path[:80]}")
         reservation = environ["quetzalwall.hold"]
@@ -133,7 +129,7 @@
             cfg=cfg,
             route=route,
             service=self._split.next_service(route),
-            method=method,
+            method=environ["REQUEST_METHOD"],
             target=target,
             body=body,
             object_key=object_hash(route, metadata),
