Leave half of the memory budget to bodies beside requests sent ahead

Requests that run beside others reserve memory; on many connections at once they could have used up the budget, so that bodies of other callers were rejected as "no memory". Found by reading. They wait for their turn now once half of the budget is in use; the new test fails without the bound.

--- a/quetzalwall/connection/memory_budget.py
+++ b/quetzalwall/connection/memory_budget.py
@@ -44,20 +44,22 @@
         self.open_requests += 1
         return Reservation(self, await_room)
 
-    def try_reserve(self, size):
-        """Reserve bytes that belong to no request if there is room for them.
+    def try_reserve(self, size, fraction=1.0):
+        """Reserve bytes if there is room for them.
 
         Parameters
         ----------
         size : int
             Number of bytes.
+        fraction : float, default=1.0
+            Fraction of the capacity that may be reserved after that.
 
         Returns
         -------
         bool
             Whether the bytes were reserved.
         """
-        if self.used_bytes + size > self.capacity:
+        if self.used_bytes + size > fraction * self.capacity:
             return False
         self.used_bytes += size
         return True
--- a/quetzalwall/connection/pipelined_handler.py
+++ b/quetzalwall/connection/pipelined_handler.py
@@ -28,6 +28,8 @@
 __all__ = ["PipelinedHandler", "Pipelining"]
 
 EXCHANGE_BYTES = 36_000  # of memory for a request that runs beside another, at most
+# Of the memory budget; beyond it, room is left for the bodies of others.
+AHEAD_MEMORY_FRACTION = 0.5
 POLL_S = 0.25  # between two looks whether a caller that is not read from has left
 LINGER_S = 1.0  # a caller gets this long to close a connection that was ended here
 CANCEL_S = 0.5  # until cancelled requests have ended
@@ -169,7 +171,8 @@
             return self._pipeline.admit(parallel)
         admission = self._pipeline.admit(parallel, self.waiting_bytes())
         if admission is Admission.START:
-            if not policy.memory_budget.try_reserve(EXCHANGE_BYTES):
+            budget = policy.memory_budget
+            if not budget.try_reserve(EXCHANGE_BYTES, AHEAD_MEMORY_FRACTION):
                 return Admission.WAIT
             exchange.extra_bytes = EXCHANGE_BYTES
         return admission
--- a/quetzalwall/process/tests/test_requests_sent_ahead.py
+++ b/quetzalwall/process/tests/test_requests_sent_ahead.py
@@ -244,6 +244,19 @@
         wait_for(lambda: front.memory_budget.used_bytes == 0)
 
 
+def test_requests_ahead_leave_half_of_the_memory_budget_to_bodies():
+    with roomy_site(work_s=0.3) as site:
+        budget = site.fronts[0].memory_budget
+        budget.capacity = 200_000
+        sock = connect(site)
+        sock.sendall(b"".join(look(f"r{number}") for number in range(8)))
+        gevent.sleep(0.15)
+        assert 0 < budget.used_bytes <= 100_000
+        assert 1 < len(arrivals(site)) < 8
+        assert identities(read_responses(sock, 8)) == [f"r{n}" for n in range(8)]
+        wait_for(lambda: budget.used_bytes == 0)
+
+
 def test_a_planned_stop_answers_all_lookups_under_way_on_a_connection():
     with roomy_site(1) as site:
         sock = start_lookups(site)
