Send a list of keys in place of the complete table to instances that lag

After a start, or when the store has dropped its history, each instance reads the complete table at its own moment.

The asker now gets the rows that changed since its version and the keys of all rows; what it knows and does not find listed has been removed. A list with rows that it does not know is refused, and the complete table asked for. Instances of an earlier release ask without `listing` and get the complete table as before.

--- a/quetzalwall/exceptions.py
+++ b/quetzalwall/exceptions.py
@@ -8,6 +8,7 @@
     "EndpointError",
     "IncompleteAnswer",
     "ListenError",
+    "MissingRows",
     "NoRoom",
     "NotConnected",
     "NotRun",
@@ -92,6 +93,10 @@
     """The store is unresponsive or failing; a write may have taken effect."""
 
 
+class MissingRows(QuetzalwallError):
+    """A peer lists rows of a table that this instance should know and does not."""
+
+
 class PeerError(QuetzalwallError):
     """A JSON call to another process failed or its response was invalid."""
 
--- a/quetzalwall/platform/store.py
+++ b/quetzalwall/platform/store.py
@@ -57,12 +57,16 @@
         Keys of removed rows that may return, since the store was unavailable.
     return_grace_s : float or None, default=None
         Seconds within which they may return; None if the removal has just been found.
+    listed : frozenset of str or None, default=None
+        Keys of all rows of the table at that version, where ``rows`` are changes; known
+        rows with other keys have been removed. None if removals are among the changes.
     """
 
     rows: list
     version: int
     expired: frozenset = frozenset()
     return_grace_s: float | None = None
+    listed: frozenset | None = None
 
 
 class TransactionResult(NamedTuple):
--- a/quetzalwall/process/cluster/cluster_state.py
+++ b/quetzalwall/process/cluster/cluster_state.py
@@ -5,7 +5,7 @@
 import gevent
 
 from quetzalwall.connection.yielding_socket import YIELD_SLEEP_S
-from quetzalwall.exceptions import PeerError, SettingsError
+from quetzalwall.exceptions import MissingRows, PeerError, SettingsError
 from quetzalwall.logs import get_logger, log_event
 from quetzalwall.platform.rows import (
     CONFIG_KEY,
@@ -102,13 +102,24 @@
             Whether they are all rows of the table.
         after_outage : bool
             Whether a store outage preceded, so that removed entries may have expired.
+
+        Raises
+        ------
+        MissingRows
+            Rows are listed that are neither known nor among the changes.
         """
-        if complete and rows.version < self._versions.get(table, 0):
-            log_event(LOG, "stale-rows", "warning", table=table, version=rows.version)
-            return
         changes = list(rows.rows)
+        listed = rows.listed
         if complete:
             listed = {change.key for change in changes}
+        if listed is not None:
+            if rows.version < self._versions.get(table, 0):
+                log_event(
+                    LOG, "stale-rows", "warning", table=table, version=rows.version
+                )
+                return
+            if listed - self._rows[table].keys() - {change.key for change in changes}:
+                raise MissingRows("listed rows are not known", step=table)
             changes += [
                 RowChange(key, None, rows.version)
                 for key in self._rows[table]
@@ -121,7 +132,7 @@
             self._record_change(table, change, change.key in expired)
         self._versions[table] = rows.version
         self.fleet.read_versions[table] = rows.version
-        if complete:
+        if listed is not None:
             # Rows removed earlier are unknown here, but a peer that asks may have them.
             self._removals_after[table] = max(self._removals_after[table], rows.version)
         if changes:
@@ -140,7 +151,7 @@
             self._apply_settings_tree()
         self._applied.add(table)
 
-    def export(self, table, after=0):
+    def export(self, table, after=0, listing=False):
         """Return a table or its later changes, for another instance to apply.
 
         Parameters
@@ -149,6 +160,9 @@
             Name of the table.
         after : int, default=0
             Version up to which the other instance knows the table; 0 for all of it.
+        listing : bool, default=False
+            Whether to list the keys of all rows, rather than send all rows, if not all
+            removals since then are known here.
 
         Returns
         -------
@@ -157,8 +171,12 @@
         """
         if table not in self._versions or table in self._applying:
             return None
+        listed = None
         if after < self._removals_after[table]:
-            after = 0
+            if listing and after > 0:
+                listed = list(self._rows[table])
+            else:
+                after = 0
         rows = {
             key: [base64.b64encode(change.value).decode(), change.version]
             for key, change in self._rows[table].items()
@@ -167,15 +185,18 @@
         removed = {}
         for key, (version, expired) in self._removed[table].items():
             grace_s = self.endpoints.remaining_grace_s(key) if expired else 0.0
-            # A complete table omits removed rows, except for entries that may return.
-            if version > after and (after > 0 or grace_s > 0):
+            # A complete table, or a list of its keys, omits removed rows, except for
+            # entries that may return.
+            omitted = after == 0 or listed is not None
+            if version > after and (grace_s > 0 or not omitted):
                 removed[key] = [version, grace_s]
-        return {
+        exported = {
             "version": self._versions[table],
             "whole": after == 0,
             "rows": rows,
             "removed": removed,
         }
+        return exported if listed is None else exported | {"keys": listed}
 
     def _record_change(self, table, change, expired):
         removed = self._removed[table]
@@ -312,7 +333,9 @@
         grace_s = min(returning.values(), default=None)
         rows.sort(key=lambda change: change.version)
         version = int(body["version"])
-        return Rows(rows, version, frozenset(returning), grace_s), bool(body["whole"])
+        listed = frozenset(body["keys"]) if "keys" in body else None
+        found = Rows(rows, version, frozenset(returning), grace_s, listed)
+        return found, bool(body["whole"])
     except (KeyError, TypeError, ValueError, AttributeError) as exc:
         raise PeerError(f"bad rows: {exc!r}", step="read rows", peer=peer) from exc
 
--- a/quetzalwall/process/cluster/peer_tables.py
+++ b/quetzalwall/process/cluster/peer_tables.py
@@ -101,7 +101,7 @@
 def _request_table(address, table, after):
     client = create_json_client(*address, f"instance {address[0]}", REQUEST_TIMEOUT_S)
     try:
-        response = client.call("GET", f"/tables/{table}?after={after}")
+        response = client.call("GET", f"/tables/{table}?after={after}&listing=1")
         if response.status != 200:
             return None
         return read_exported(response.body, address[0])
--- a/quetzalwall/process/cluster/store_watch.py
+++ b/quetzalwall/process/cluster/store_watch.py
@@ -9,7 +9,7 @@
 import gevent
 from gevent.lock import BoundedSemaphore
 
-from quetzalwall.exceptions import StoreError
+from quetzalwall.exceptions import MissingRows, StoreError
 from quetzalwall.logs import get_logger, log_event
 from quetzalwall.platform.store import HistoryGone
 from quetzalwall.process.cluster.store_readers import (
@@ -80,6 +80,7 @@
         self._monotonic = monotonic
         self._version = 0
         self._read_all = True
+        self._ask_whole = False
         self._retry_delay_s = RETRY_DELAY_MIN_S
         self._last_followed = -math.inf
         self._called_at = None
@@ -250,12 +251,19 @@
 
     def _apply_from_peer(self):
         after = self._version
-        found = self._ask_peer(self._known_version() if self.loaded else 0)
+        ask_changes = self.loaded and not self._ask_whole
+        found = self._ask_peer(self._known_version() if ask_changes else 0)
         if found is None:
             return
         rows, complete = found
-        if rows.version <= after or not self._apply(rows, complete, False, after):
+        try:
+            if rows.version <= after or not self._apply(rows, complete, False, after):
+                return
+        except MissingRows as exc:
+            log_event(LOG, "incomplete", "warning", table=self._table, reason=str(exc))
+            self._ask_whole = True
             return
+        self._ask_whole = False
         self._read_all = False
         self._behind_since = None
         log_event(LOG, "from-peer", table=self._table, version=rows.version)
--- a/quetzalwall/process/front_interfaces.py
+++ b/quetzalwall/process/front_interfaces.py
@@ -167,10 +167,11 @@
 def _serve_peers(front, environ, start_response):
     """Export the rows of a table that changed after a version."""
     table = environ["PATH_INFO"].removeprefix("/tables/")
-    after = parse_qs(environ["QUERY_STRING"]).get("after", ["0"])[0]
+    query = parse_qs(environ["QUERY_STRING"])
+    after, listing = query.get("after", ["0"])[0], "listing" in query
     exported = None
     if table in front.cluster_state.tables and is_decimal(after):
-        exported = front.cluster_state.export(table, int(after))
+        exported = front.cluster_state.export(table, int(after), listing)
     if exported is None:
         return json_response(start_response, 404, {"error": "not known here"})
     body = json_response(start_response, 200, exported)
