Send the soak's test request through its callers

The test of a kill during a stop called a method that had moved to the callers: AttributeError in a whole run of the tests (701 run, 1 error).

--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -105,10 +105,10 @@
         instance = soak.site.instances[0]
         instance.stopping = True
         client = create_client(instance.address, soak.site.ports[0], "instance")
-        assert soak._send_request(soak.rng, client, 0, instance).planned
+        assert soak.callers._send_request(soak.rng, client, 0, instance).planned
         instance.signal(signal.SIGKILL)
         instance.process.wait()
-        attempt = soak._send_request(soak.rng, client, 0, instance)
+        attempt = soak.callers._send_request(soak.rng, client, 0, instance)
         assert attempt.status == 0 and not attempt.planned
         client.close()
     finally:
