Measure the arrival of a request with the clock of the instance

The pipelined handler took arrivals from time.monotonic, but deadlines are measured with a clock that also advances while the machine is suspended. After a suspension each request would have been seen as arrived that long ago, and rejected as "too late" for as long as the process lived.

The test runs an instance whose clock is an hour ahead or behind: 503 before, 200 after, with the remaining time of the deadline passed on.

--- a/quetzalwall/connection/exchange.py
+++ b/quetzalwall/connection/exchange.py
@@ -5,7 +5,6 @@
 """
 
 import errno
-import time
 
 import gevent
 import gevent.event
@@ -50,21 +49,19 @@
         Bytes reserved because it runs beside another request.
     """
 
-    def begin(self, connection, monotonic=time.monotonic):
+    def begin(self, connection):
         """Take over the request whose head a connection has read.
 
         Parameters
         ----------
         connection : PipelinedHandler
             The connection.
-        monotonic : callable
-            Clock in seconds.
         """
         self.__dict__.update(connection.__dict__)
         self._connection = connection
-        self._monotonic = monotonic
+        self._monotonic = connection.server.pipelining.monotonic
         self.idempotent = False
-        self.arrived, self.began = monotonic(), None
+        self.arrived, self.began = self._monotonic(), None
         self.waited = False
         self.task = None
         self._turn = None
--- a/quetzalwall/connection/front_server.py
+++ b/quetzalwall/connection/front_server.py
@@ -10,7 +10,7 @@
     create_server,
     status_line,
 )
-from quetzalwall.connection.pipelined_handler import PipelinedHandler, Pipelining
+from quetzalwall.connection.pipelined_handler import PipelinedHandler
 from quetzalwall.logs import describe_failure, get_logger, log_event
 from quetzalwall.request.response import Response
 
@@ -99,9 +99,7 @@
     start_response(status_line(response.status), headers)
 
 
-def create_front_server(
-    address, application, max_connections, is_idempotent, record_dropped, memory_budget
-):
+def create_front_server(address, application, max_connections, pipelining):
     """Return the server for callers, not yet started.
 
     Parameters
@@ -112,8 +110,8 @@
         WSGI application.
     max_connections : int
         Maximum number of open connections; further ones wait to be accepted.
-    is_idempotent, record_dropped, memory_budget
-        As of `Pipelining`.
+    pipelining : Pipelining
+        What the handler of a connection needs to know of its requests.
 
     Returns
     -------
@@ -121,5 +119,5 @@
     """
     limits = HttpLimits(max_connections=max_connections)
     server = create_server(*address, application, limits, handler=PipelinedHandler)
-    server.pipelining = Pipelining(is_idempotent, record_dropped, memory_budget)
+    server.pipelining = pipelining
     return server
--- a/quetzalwall/connection/pipelined_handler.py
+++ b/quetzalwall/connection/pipelined_handler.py
@@ -49,11 +49,14 @@
         the response that closes its connection.
     memory_budget : MemoryBudget
         Memory for requests that run beside others.
+    monotonic : callable
+        Clock in seconds; the one that deadlines are measured with.
     """
 
     is_idempotent: Callable
     record_dropped: Callable
     memory_budget: MemoryBudget
+    monotonic: Callable
 
 
 class PipelinedHandler(QuietHandler):
--- a/quetzalwall/process/front.py
+++ b/quetzalwall/process/front.py
@@ -13,6 +13,7 @@
     create_front_application,
     create_front_server,
 )
+from quetzalwall.connection.pipelined_handler import Pipelining
 from quetzalwall.connection.product_dialect import PRODUCT_DIALECT
 from quetzalwall.exceptions import SettingsError
 from quetzalwall.logs import describe_failure, get_logger, log_event
@@ -129,15 +130,16 @@
             lambda: self.stopping,
             self.memory_budget,
         )
+        pipelining = Pipelining(
+            self._reader.is_idempotent,
+            self.server.record_dropped,
+            self.memory_budget,
+            self.clock.monotonic,
+        )
         callers = max_connections(settings.memory_mb, settings.descriptors, "callers")
         self._servers = {
             "callers": create_front_server(
-                listen.callers,
-                application,
-                callers,
-                self._reader.is_idempotent,
-                self.server.record_dropped,
-                self.memory_budget,
+                listen.callers, application, callers, pipelining
             ),
             **create_interfaces(self),
         }
--- a/quetzalwall/process/tests/test_front.py
+++ b/quetzalwall/process/tests/test_front.py
@@ -8,6 +8,7 @@
 import msgspec
 from nose2.tools import params
 
+from quetzalwall.clock import Clock
 from quetzalwall.connection.http_server import create_server
 from quetzalwall.tests.platform_fixtures import (
     HOST,
@@ -51,6 +52,21 @@
         assert 500 < remaining_ms <= 700
 
 
+# The instance's clock also advances while the machine is suspended. Arrivals that were
+# taken from another clock lay in the past then, and all requests were "too late".
+@params(3600.0, -3600.0)
+def test_deadlines_are_measured_with_the_clock_of_the_instance(ahead_s):
+    clock = Clock(lambda: time.monotonic() + ahead_s, time.time)
+    with running_site(endpoints=1) as site, ExitStack() as stack:
+        front = start_front(stack, site, 1, clock=clock)
+        wait_for(front.cluster_state.ready)
+        address = front.settings.address
+        status, _, _ = call(address, site.ports[0], "/look/1", **{DEADLINE: "700"})
+        assert status == 200
+        headers = site.endpoints[0].arrivals[-1][1]
+        assert 500 < int(headers["x-quetzalwall-deadline-ms"]) <= 700
+
+
 def test_a_missing_route_and_a_missing_configuration_differ_in_status():
     with running_site() as site:
         assert site.get("/none/1")[0] == 404
--- a/quetzalwall/tests/platform_fixtures.py
+++ b/quetzalwall/tests/platform_fixtures.py
@@ -231,7 +231,7 @@
         yield site
 
 
-def start_front(stack, site, number, seeds=(), **fields):
+def start_front(stack, site, number, seeds=(), clock=None, **fields):
     """Start one more instance, which is closed with the stack."""
     address = own_address(number)
     domain = ("north-a", "north-b", "south-a")[number % 3]
@@ -239,7 +239,7 @@
         address, site.store.server.address, site.ports, f"front-{number}", domain, seeds
     )
     file = write_settings(body | fields)
-    front = create_front(read_settings(file), file, seed=number)
+    front = create_front(read_settings(file), file, clock, seed=number)
     front.start()
     stack.callback(front.close)
     return front
