Choose ports for tests that are free at every address they use

The fixture chose ports that were free at the first address of the process only, while the third instance listens at the third address. Which socket held the port there was not seen. Ports are now tried at all ten addresses.

--- a/quetzalwall/tests/platform_fixtures.py
+++ b/quetzalwall/tests/platform_fixtures.py
@@ -22,6 +22,7 @@
 HOST = "shop.example"
 DOMAINS = {"north-a": "north", "north-b": "north", "south-a": "south"}
 WAIT_TIMEOUT_S = 5.0
+MAX_INSTANCES = 10  # of a test
 
 
 class ManualClock:
@@ -144,12 +145,22 @@
 
 
 def free_ports(count):
-    """Return ports that are free at the addresses of `own_address`."""
-    socks = [socket.socket() for _ in range(count)]
+    """Return ports that are free at each address of `own_address` that a test uses."""
+    socks, ports = [], []
     try:
-        for sock in socks:
-            sock.bind((own_address(0), 0))
-        return [sock.getsockname()[1] for sock in socks]
+        while len(ports) < count:
+            first = socket.socket()
+            socks.append(first)
+            first.bind((own_address(0), 0))
+            port = first.getsockname()[1]
+            try:
+                for number in range(1, MAX_INSTANCES):
+                    socks.append(socket.socket())
+                    socks[-1].bind((own_address(number), port))
+            except OSError:
+                continue
+            ports.append(port)
+        return ports
     finally:
         for sock in socks:
             sock.close()
