Know client accounts, their keys and the route kind download

Cause: a configuration with the kind `download` or with client accounts was refused or its accounts were ignored, so a deployment that has them was served nothing (all requests 503) or with wrong identities.

--- a/quetzalwall/connection/dialect.py
+++ b/quetzalwall/connection/dialect.py
@@ -49,6 +49,11 @@
     idempotency_key : str, default=""
         Requests with the same key may run once in total, whoever sends them; empty if
         there is none.
+    credential : str, default=""
+        Key of the client account; empty if there is none. Never logged or forwarded.
+    account : str, default=""
+        Name of the client account, as the instance determined it; empty if there is
+        none.
     """
 
     request_id: str
@@ -56,6 +61,8 @@
     object_key: str
     headers: dict
     idempotency_key: str = ""
+    credential: str = ""
+    account: str = ""
 
 
 class ResponseMetadata(NamedTuple):
--- a/quetzalwall/connection/http_server.py
+++ b/quetzalwall/connection/http_server.py
@@ -29,6 +29,7 @@
     200: "200 OK",
     202: "202 Accepted",
     400: "400 Bad Request",
+    401: "401 Unauthorized",
     403: "403 Forbidden",
     404: "404 Not Found",
     405: "405 Method Not Allowed",
--- a/quetzalwall/platform/headers.py
+++ b/quetzalwall/platform/headers.py
@@ -37,8 +37,13 @@
 LIMIT_PATTERN = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?")
 MAX_LOGGED_CHARACTERS = 60  # characters of a malformed limit that are logged
 OBJECT_COOKIE = "X-Quetzalwall-Affinity-Key"
+CREDENTIAL_HEADER = "X-Quetzalwall-Credential"
+ACCOUNT_HEADER = "X-Quetzalwall-Tenant"
 # Headers of callers that are not forwarded: the instance sends its own values.
-CONSUMED_HEADERS = frozenset((DEADLINE_HEADER.lower(), EXPECT_HEADER.lower()))
+CONSUMED_HEADERS = frozenset(
+    name.lower()
+    for name in (DEADLINE_HEADER, EXPECT_HEADER, CREDENTIAL_HEADER, ACCOUNT_HEADER)
+)
 READY_PATH = "/ready"
 MAX_LOOKUP_ADDRESSES = 64  # in one look-up response
 # A success response of the endpoint itself has this header exactly once.
@@ -74,6 +79,7 @@
         timeout_s=None if text is None else int(text) / 1000,
         object_key=_object_key(environ.get("HTTP_COOKIE", "")),
         headers=forwarded_headers(environ, CONSUMED_HEADERS),
+        credential=environ.get("HTTP_X_QUETZALWALL_CREDENTIAL", ""),
     )
 
 
@@ -97,6 +103,8 @@
         DEADLINE_HEADER: str(max(1, int(remaining_s * 1000))),
         EXPECT_HEADER: endpoint,
     }
+    if metadata.account:
+        added[ACCOUNT_HEADER] = metadata.account
     return metadata.headers | added
 
 
--- a/quetzalwall/platform/rows.py
+++ b/quetzalwall/platform/rows.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from quetzalwall.exceptions import QuetzalwallError
+from quetzalwall.version.accounts import ClientAccount, create_accounts
 from quetzalwall.version.model import (
     Configuration,
     EndpointEntry,
@@ -33,12 +34,20 @@
 INSTANCES_TABLE = "instances"
 CONFIG_KEY = "config"
 EVACUATION_PREFIX = "evacuate/"
-IDEMPOTENT_BY_KIND = {"safe": True, "unsafe": False, "upload": False}
+IDEMPOTENT_BY_KIND = {
+    "safe": True,
+    "download": True,
+    "unsafe": False,
+    "upload": False,
+}
 DRAINING_BY_STATE = {"ready": False, "draining": True}
 DURATION_PATTERN = re.compile(r"(-?[0-9]+(?:\.[0-9]+)?)(ms|s)")
 PORT_PATTERN = re.compile(r"[0-9]{1,5}")
 MAX_PORT = 65535
 MAX_SLOTS = 1_000_000
+MAX_REQUESTS_PER_S = 1e9
+# A name is sent as a header, so it must contain no control characters.
+ACCOUNT_PATTERN = re.compile(r"[!-~]([ -~]*[!-~])?")
 MAX_COLD_S = 86_400.0
 MAX_MESSAGE_CHARACTERS = 400
 # What decoding raises for a value of an unexpected type or range.
@@ -122,7 +131,8 @@
     hosts = {host: HostRoutes(routes) for host, routes in hosts.items()}
     limits = _decode_at("/limits", _decode_limits, body.get("limits") or {})
     version = _decode_at("/version", _decode_version, body.get("version"))
-    return Configuration(version, hosts, services, limits)
+    accounts = _decode_accounts(body)
+    return Configuration(version, hosts, services, limits, accounts=accounts)
 
 
 def decode_endpoint(name, raw):
@@ -216,11 +226,59 @@
         rank=int(record.get("priority", DEFAULT_RANK)),
         attempts=max(1, int(record.get("maxAttempts", DEFAULT_ATTEMPTS))),
         sticky=bool(record.get("sticky", False)),
-        regions=tuple(record.get("allowedRegions") or ()),
+        regions=_decode_regions(record),
         split=targets,
+        public=bool(record.get("public", False)),
     )
 
 
+def _decode_accounts(body):
+    """Return the client accounts, or None if the configuration has none."""
+    if body.get("tenants") is None:
+        return None
+    accounts = [
+        _decode_at(path, _decode_account, record)
+        for path, record in _records(body, "tenants")
+    ]
+    return _decode_at("/tenants", create_accounts, accounts)
+
+
+def _decode_account(record):
+    name = _require_text(record["name"])
+    if not ACCOUNT_PATTERN.fullmatch(name):
+        raise RowError(f"name not printable: {name[:40]!r}", step="decode row")
+    keys = record.get("apiKeys") or []
+    # The message must not contain a key.
+    if not isinstance(keys, list):
+        raise RowError("apiKeys: not a list", step="decode row")
+    if not all(isinstance(key, str) and key for key in keys):
+        raise RowError("apiKeys: not a list of non-empty strings", step="decode row")
+    rank = record.get("priority")
+    account = ClientAccount(
+        name=name,
+        rank=None if rank is None else int(rank),
+        per_s=_decode_rate(record, "ratePerS"),
+        burst=_decode_rate(record, "burst"),
+        regions=_decode_regions(record),
+    )
+    return account, keys
+
+
+def _decode_rate(record, field):
+    value = record.get(field, 0)
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    if not is_number or not 0 <= value <= MAX_REQUESTS_PER_S:
+        raise RowError(f"{field} out of range: {str(value)[:40]}", step="decode row")
+    return float(value)
+
+
+def _decode_regions(record):
+    regions = record.get("allowedRegions") or []
+    if not isinstance(regions, list):
+        raise RowError("allowedRegions: not a list", step="decode row")
+    return tuple(_require_text(region) for region in regions)
+
+
 def _duration_or_default(text, default):
     return default if text is None else parse_duration_s(text)
 
--- a/quetzalwall/platform/settings.py
+++ b/quetzalwall/platform/settings.py
@@ -85,6 +85,8 @@
     "budgetWindow": "retry_window_s",
     "ttl_max": "lookup_ttl_s",
     "reuseAfter": "reuse_after_s",
+    "revoke": "revoke_s",
+    "quotaWindow": "quota_window_s",
 }
 NUMBER_BOUNDS = {
     "retryBudgetRatio": "retry_ratio",
@@ -92,7 +94,11 @@
     "coldOverage": "cold_overage",
     "coldSlack": "cold_slack",
     "maxShift": "shift_cap",
+    "quotaOverage": "quota_overage",
+    "quotaSlack": "quota_slack",
 }
+FLAG_BOUNDS = {"failClosed": "fail_closed"}
+FLAGS = {True: True, False: False, "true": True, "false": False}
 
 LOG = get_logger("settings")
 FORMAT_CHECKER = jsonschema.FormatChecker(formats=())
@@ -139,6 +145,14 @@
         overage, plus slack.
     shift_cap : float
         Fraction of a region's requests that may change region in 2 s.
+    fail_closed : bool
+        Whether requests with a key are rejected while it is not known that the key is
+        still valid.
+    revoke_s : float
+        Seconds after which a withdrawn key must not be accepted any more.
+    quota_window_s, quota_overage, quota_slack : float
+        Limit on the requests of a client account in any window: its allotment, times 1
+        plus overage, plus slack.
     """
 
     stable_s: float = 4.0
@@ -153,6 +167,11 @@
     cold_overage: float = 1.5
     cold_slack: float = 5.0
     shift_cap: float = 0.15
+    fail_closed: bool = False
+    revoke_s: float = 5.0
+    quota_window_s: float = 5.0
+    quota_overage: float = 0.1
+    quota_slack: float = 20.0
 
 
 class Listen(NamedTuple):
@@ -367,13 +386,14 @@
 
 def _read_bound(file, name, value, bounds, fallback, ignored):
     """Add one bound to ``bounds``; a malformed one gets its value in ``fallback``."""
-    field = DURATION_BOUNDS.get(name) or NUMBER_BOUNDS.get(name)
+    names = DURATION_BOUNDS | NUMBER_BOUNDS | FLAG_BOUNDS
+    field = names.get(name)
     if field is None:
         return
     try:
         if name in DURATION_BOUNDS:
             value = parse_duration_s(value)
-        number = _parse_number(value)
+        number = _parse_flag(value) if name in FLAG_BOUNDS else _parse_number(value)
     except (RowError, TypeError, ValueError) as exc:
         bounds[field] = getattr(fallback, field)
         ignored.append(Fault(file, f"/bounds/{name}", str(value), str(exc)))
@@ -381,6 +401,12 @@
         bounds[field] = number
 
 
+def _parse_flag(value):
+    if not isinstance(value, bool | str) or value not in FLAGS:
+        raise ValueError("must be true or false")
+    return FLAGS[value]
+
+
 def _parse_number(value):
     if isinstance(value, bool):
         raise ValueError("must be a number")
--- a/quetzalwall/request/queueing_limits.py
+++ b/quetzalwall/request/queueing_limits.py
@@ -35,7 +35,7 @@
         """
         if self._cfg is not cfg:
             self._cfg, self._limits_s = cfg, {}
-        key = (route.name, service)
+        key = (route.name, route.rank, service)
         if key not in self._limits_s:
             self._limits_s[key] = _max_queueing_s(cfg, route, service)
         return self._limits_s[key]
--- a/quetzalwall/request/request.py
+++ b/quetzalwall/request/request.py
@@ -35,6 +35,9 @@
         The caller's connection.
     reservation : Reservation
         Memory reserved for its body and responses.
+    account : ClientAccount or None, default=None
+        Client account whose key it has; None if its route needs none. The route has the
+        account's rank and regions.
     """
 
     metadata: object
@@ -49,6 +52,7 @@
     deadline: float
     sock: object
     reservation: object
+    account: object = None
 
 
 class RequestResult(NamedTuple):
--- a/quetzalwall/request/request_log.py
+++ b/quetzalwall/request/request_log.py
@@ -10,6 +10,7 @@
     "log_finish",
     "log_no_route",
     "log_rejection",
+    "log_unknown_key",
 ]
 
 LOG = get_logger("request")
@@ -51,6 +52,29 @@
     )
 
 
+def log_unknown_key(metadata, route, version):
+    """Log that a request has no key, or one that no account holds.
+
+    Parameters
+    ----------
+    metadata : RequestMetadata
+        What the caller's headers say.
+    route : Route
+        Its route.
+    version : int
+        Version of the active configuration.
+    """
+    log_event(
+        LOG,
+        "unknown-key",
+        "warning",
+        req=metadata.request_id,
+        route=route.name,
+        has_key=bool(metadata.credential),
+        version=version,
+    )
+
+
 def log_choice(req, choice, attempt, now, shift):
     """Log which endpoint a request is sent to, and the figures behind the choice.
 
--- a/quetzalwall/request/request_reader.py
+++ b/quetzalwall/request/request_reader.py
@@ -5,7 +5,8 @@
 from quetzalwall.request.choice import Rejection
 from quetzalwall.request.latency_model import min_of_known
 from quetzalwall.request.request import Request, object_hash
-from quetzalwall.request.request_log import log_no_route
+from quetzalwall.request.request_log import log_no_route, log_unknown_key
+from quetzalwall.version.accounts import route_for_account
 from quetzalwall.version.model import find_route
 
 __all__ = ["Refused", "RequestReader", "create_request_reader"]
@@ -14,6 +15,7 @@
 MATCH_KEY = "quetzalwall.match"
 MAX_TIMEOUT_S = 30.0  # of a request, also if neither caller nor route sets one
 NO_CONFIG = Rejection("no configuration", 0.5)  # until one was read
+NO_REGION = Rejection("no region", 1.0)  # that both the route and the account allow
 NO_ROOM_IN_MEMORY = Rejection("no memory", 1.0)  # while the memory budget is used up
 
 
@@ -101,11 +103,12 @@
         Raises
         ------
         BadRequest
-            The request is malformed or matches no route.
+            The request is malformed, matches no route, or its key is unknown.
         CallerLeft
             The caller closed its connection.
         Refused
-            There is no configuration yet, or no memory for the body.
+            There is no configuration yet, no region that the route and the account
+            allow, or no memory for the body.
         """
         arrived = environ["quetzalwall.exchange"].arrived
         metadata = self._dialect.parse_request(environ)
@@ -118,6 +121,12 @@
             path = target.partition("?")[0]
             log_no_route(metadata, host, path, cfg.version)
             raise BadRequest(404, f"no route for {host}{path[:80]}")
+        account = _find_account(cfg, route, metadata)
+        if account is not None:
+            metadata = metadata._replace(account=account.name)
+            name, route = route.name, route_for_account(route, account)
+            if route is None:
+                raise Refused(metadata, name, NO_REGION)
         reservation = environ["quetzalwall.hold"]
         try:
             body = read_body(environ, cfg.limits.max_body_bytes, reservation)
@@ -137,9 +146,21 @@
             deadline=arrived + min(limit_s, MAX_TIMEOUT_S),
             sock=environ.get("quetzalwall.socket"),
             reservation=reservation,
+            account=account,
         )
 
 
+def _find_account(cfg, route, metadata):
+    """Return the account of a request; None if its route needs none."""
+    if cfg.accounts is None or route.public:
+        return None
+    account = cfg.accounts.find(metadata.credential)
+    if account is None:
+        log_unknown_key(metadata, route, cfg.version)
+        raise BadRequest(401, "unknown key")
+    return account
+
+
 def create_request_reader(dialect, cluster_state, split):
     """Return a reader of requests.
 
--- a/quetzalwall/version/model.py
+++ b/quetzalwall/version/model.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from quetzalwall.version.accounts import Accounts
+
 __all__ = [
     "Configuration",
     "EndpointEntry",
@@ -81,6 +83,8 @@
         Services with their weights.
     methods : tuple of str
         HTTP methods that it matches; empty for all.
+    public : bool
+        Whether requests need no key of a client account.
     """
 
     name: str
@@ -95,6 +99,7 @@
     regions: tuple
     split: tuple
     methods: tuple = ()
+    public: bool = False
 
 
 class HostRoutes(list):
@@ -179,6 +184,8 @@
         Limits on callers.
     shifts : tuple of Shift
         Planned moves between regions.
+    accounts : Accounts or None
+        Client accounts; None if requests need no key.
     """
 
     version: int
@@ -186,6 +193,7 @@
     services: dict
     limits: Limits
     shifts: tuple = ()
+    accounts: Accounts | None = None
 
 
 class EndpointEntry(NamedTuple):
