--- a/quetzalwall/platform/rows.py
+++ b/quetzalwall/platform/rows.py
@@ -163,7 +163,8 @@
     except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as exc:
         raise RowError(f"not JSON: {exc}", step="decode row") from exc
     if not isinstance(body, dict):
-        raise RowError(f"not an object: {str(body)[:80]}", step="decode row")
+        # The value is left out, since it may contain the keys of accounts.
+        raise RowError(f"not an object: a {type(body).__name__}", step="decode row")
     return body
 
 
@@ -184,7 +185,9 @@
     table = body.get(key)
     if not isinstance(table, dict) or not isinstance(table.get("rows"), list):
         raise RowError(f"/{key}: columns or rows missing", step="decode row")
-    columns = table["columns"]
+    columns = table.get("columns")
+    if not isinstance(columns, list) or not all(isinstance(c, str) for c in columns):
+        raise RowError(f"/{key}: columns or rows missing", step="decode row")
     for index, values in enumerate(table["rows"]):
         if not isinstance(values, list) or len(values) != len(columns):
             raise RowError(f"/{key}/{index}: not one value a column", step="decode row")
@@ -228,10 +231,18 @@
         sticky=bool(record.get("sticky", False)),
         regions=_decode_regions(record),
         split=targets,
-        public=bool(record.get("public", False)),
+        public=_decode_public(record),
     )
 
 
+def _decode_public(record):
+    # A text such as "false" must not open a route to requests without a key.
+    public = record.get("public", False)
+    if not isinstance(public, bool):
+        raise RowError(f"public: not true or false: {public!r}", step="decode row")
+    return public
+
+
 def _decode_accounts(body):
     """Return the client accounts, or None if the configuration has none."""
     if body.get("tenants") is None:
@@ -244,22 +255,33 @@
 
 
 def _decode_account(record):
-    name = _require_text(record["name"])
-    if not ACCOUNT_PATTERN.fullmatch(name):
-        raise RowError(f"name not printable: {name[:40]!r}", step="decode row")
-    keys = record.get("apiKeys") or []
-    # The message must not contain a key.
+    """Return a client account and its keys.
+
+    Messages name the type of a value that is no number, since a key may be in the wrong
+    column.
+    """
+    name = record.get("name")
+    if not isinstance(name, str) or not ACCOUNT_PATTERN.fullmatch(name):
+        raise RowError("name: not a printable text", step="decode row")
+    keys = record.get("apiKeys", [])
     if not isinstance(keys, list):
         raise RowError("apiKeys: not a list", step="decode row")
     if not all(isinstance(key, str) and key for key in keys):
         raise RowError("apiKeys: not a list of non-empty strings", step="decode row")
     rank = record.get("priority")
+    if rank is not None and (isinstance(rank, bool) or not isinstance(rank, int)):
+        raise RowError(f"priority: {_describe(rank)}", step="decode row")
+    regions = record.get("allowedRegions") or []
+    if not isinstance(regions, list):
+        raise RowError(f"allowedRegions: {_describe(regions)}", step="decode row")
+    if not all(isinstance(region, str) and region for region in regions):
+        raise RowError("allowedRegions: not a list of names", step="decode row")
     account = ClientAccount(
         name=name,
-        rank=None if rank is None else int(rank),
+        rank=rank,
         per_s=_decode_rate(record, "ratePerS"),
         burst=_decode_rate(record, "burst"),
-        regions=_decode_regions(record),
+        regions=tuple(regions),
     )
     return account, keys
 
@@ -268,10 +290,17 @@
     value = record.get(field, 0)
     is_number = isinstance(value, int | float) and not isinstance(value, bool)
     if not is_number or not 0 <= value <= MAX_REQUESTS_PER_S:
-        raise RowError(f"{field} out of range: {str(value)[:40]}", step="decode row")
+        raise RowError(f"{field} out of range: {_describe(value)}", step="decode row")
     return float(value)
 
 
+def _describe(value):
+    """Return a number as text, or the type of any other value, which may be a key."""
+    if isinstance(value, int | float):
+        return str(value)[:40]
+    return f"a {type(value).__name__}"
+
+
 def _decode_regions(record):
     regions = record.get("allowedRegions") or []
     if not isinstance(regions, list):
--- a/quetzalwall/request/request_reader.py
+++ b/quetzalwall/request/request_reader.py
@@ -9,7 +9,7 @@
 from quetzalwall.version.accounts import route_for_account
 from quetzalwall.version.model import find_route
 
-__all__ = ["Refused", "RequestReader", "create_request_reader"]
+__all__ = ["Refused", "RequestReader", "UnknownKey", "create_request_reader"]
 
 # Of the WSGI environment: the active configuration and the route; None without one.
 MATCH_KEY = "quetzalwall.match"
@@ -39,6 +39,20 @@
         self.rejection = rejection
 
 
+class UnknownKey(BadRequest):
+    """A request has no key, or one that no client account holds; it was not run.
+
+    Parameters
+    ----------
+    route : str
+        Name of its route.
+    """
+
+    def __init__(self, route):
+        super().__init__(401, "unknown key")
+        self.route = route
+
+
 class RequestReader:
     """Reads the requests of callers.
 
@@ -157,7 +171,7 @@
     account = cfg.accounts.find(metadata.credential)
     if account is None:
         log_unknown_key(metadata, route, cfg.version)
-        raise BadRequest(401, "unknown key")
+        raise UnknownKey(route.name)
     return account
 
 
--- a/quetzalwall/request/request_server.py
+++ b/quetzalwall/request/request_server.py
@@ -29,7 +29,7 @@
     log_finish,
     log_rejection,
 )
-from quetzalwall.request.request_reader import Refused
+from quetzalwall.request.request_reader import Refused, UnknownKey
 from quetzalwall.request.response import Response
 from quetzalwall.request.run_once import run_once
 from quetzalwall.request.send_checks import check_caller_connected, check_may_send
@@ -115,6 +115,9 @@
             req = self._reader.read(environ)
         except Refused as exc:
             return self._reject(exc.metadata, exc.route, "admission", *exc.rejection)
+        except UnknownKey as exc:
+            self._metrics.record_rejection(exc.route, exc.message)
+            raise
         # The caller may have disconnected before this process read the request.
         check_caller_connected(req)
         if self._grace.accept_limit_s() == 0:
