Prove as of which moment the operators' table is known

Cause: `confirmed_at` is the moment at which a response of the store arrived, or a process started, and the ages in reports leave out the time for which a datagram waited in the socket of a stopped process. A revoked key needs a moment that is never too late.

Change: `process/cluster/freshness.py` keeps the as-of moment of the operators' table. A call without rows proves the end of its wait if the response arrives then, otherwise the moment it was sent; a report proves its age before the socket was last empty, unless it was read more than 0.5 s after that; a start proves nothing. Reports tell the age of what the store itself proved, unless they were held up before they were sent. With `failClosed` those that read the store wait for 1.0 s a call, and the others ask it themselves when the as-of moment is too old. SIGHUP updates the bounds.

--- a/quetzalwall/process/cluster/fleet.py
+++ b/quetzalwall/process/cluster/fleet.py
@@ -76,7 +76,7 @@
         self.table_versions = {}
         self.read_versions = {}
         self.traffic = None
-        self.table_updates = TableUpdates()
+        self.table_updates = TableUpdates(monotonic)
         self._port = port
         self._endpoint_stats = EndpointStats(endpoints)
         self._monotonic = monotonic
@@ -103,6 +103,7 @@
             self._on_report,
             self._read_delay_s,
             self.traffic,
+            self.table_updates.freshness,
         )
         self._task = repeat(self._report, MIN_REPORT_PERIOD_S)
 
@@ -266,10 +267,6 @@
                 group.cached.clear()
         return due
 
-    def _peers_of(self, group):
-        region, same = self.own_info.region, group.same_region
-        return [p for p in self._peers.values() if (p.info.region == region) == same]
-
     def peers(self):
         """Return the known other instances.
 
@@ -363,7 +360,7 @@
         now = self._monotonic()
         self.check_timeouts(now)
         for report, recipients in self.due_reports(now):
-            self._socket.send(report, recipients)
+            self._socket.send(report, recipients, now)
 
     def _build_report(self, group, now):
         self._sequence += 1
@@ -382,6 +379,7 @@
             list(group.cached),
             self.table_updates.confirmation_ages_ms(now),
             advertised_limits,
+            self.table_updates.freshness.own_age_ms(now),
         )
 
 
--- /dev/null
+++ b/quetzalwall/process/cluster/freshness.py
@@ -0,0 +1,187 @@
+"""As of which moment the operators' table is known, and whether keys may still be used.
+
+Each moment is one from which on a change may be unknown here; it never lies later than
+what a response of the store proves. All times are of a clock that also advances while
+the machine is suspended.
+"""
+
+import math
+
+__all__ = ["Freshness", "create_freshness"]
+
+# From the check of a request to its arrival at the endpoint, and what the age in a
+# report leaves out; docs/design/client-accounts.md gives the sum.
+MARGIN_S = 0.6
+MAX_DRAIN_GAP_S = 0.5  # a longer time without reading the socket is a stall
+MAX_SEND_DELAY_S = 0.2  # after which the age in a report is no longer sent
+MAX_LATE_RESPONSE_S = 0.5  # later, a stall may hide that the store responded early
+
+
+class Freshness:
+    """The as-of moment of the operators' table, and the bound on its age.
+
+    Parameters
+    ----------
+    monotonic : callable
+        Clock in seconds, which counts suspension.
+
+    Attributes
+    ----------
+    fail_closed : bool
+        Whether requests with a key are rejected while the table is stale.
+    now : callable
+        The clock.
+    """
+
+    def __init__(self, monotonic):
+        self.fail_closed = False
+        self.now = monotonic
+        self._max_age_s = math.inf
+        self._as_of = -math.inf
+        self._own_as_of = -math.inf
+        self._applied = None
+        self._unapplied = None
+        self._drained_at = -math.inf
+
+    def configure(self, bounds):
+        """Set the bound on the age of the table.
+
+        Parameters
+        ----------
+        bounds : Bounds
+            The operators' bounds.
+        """
+        self.fail_closed = bounds.fail_closed
+        self._max_age_s = math.inf
+        if bounds.fail_closed:
+            self._max_age_s = bounds.revoke_s - MARGIN_S
+
+    def is_stale(self):
+        """Return whether requests with a key have to be rejected.
+
+        Returns
+        -------
+        bool
+        """
+        return self.age_s() > self._max_age_s
+
+    def age_s(self):
+        """Return the age of the as-of moment.
+
+        Returns
+        -------
+        float
+            Seconds; infinity if nothing has been proved since the start.
+        """
+        return self.now() - self._as_of
+
+    def record_applied(self, version):
+        """Record up to which version of the store the table has been applied.
+
+        Parameters
+        ----------
+        version : int
+            The version.
+        """
+        self._applied = version
+        if self._unapplied is not None and self._unapplied[1] <= version:
+            self._as_of = max(self._as_of, self._unapplied[0])
+            self._unapplied = None
+
+    def confirm(self, sent, wait_s):
+        """Record a call to the store whose response has just been applied.
+
+        Parameters
+        ----------
+        sent : float
+            Moment at which the call was sent.
+        wait_s : float
+            Seconds for which the store waited for a change, as the call asked; 0 if it
+            returned rows.
+        """
+        waited_until, now = sent + wait_s, self.now()
+        if not waited_until <= now <= waited_until + MAX_LATE_RESPONSE_S:
+            waited_until = sent
+        self._own_as_of = max(self._own_as_of, waited_until)
+        self._as_of = max(self._as_of, waited_until)
+
+    def own_age_ms(self, now):
+        """Return the age of what the store itself proved to this instance.
+
+        Parameters
+        ----------
+        now : float
+            Seconds of the clock.
+
+        Returns
+        -------
+        int or None
+            Milliseconds, rounded up; None if it has proved nothing yet.
+        """
+        if self._own_as_of == -math.inf:
+            return None
+        return math.ceil((now - self._own_as_of) * 1000)
+
+    def may_tell_age(self, built_at):
+        """Return whether the ages in a report still hold when it is sent.
+
+        Parameters
+        ----------
+        built_at : float
+            Moment at which the report was built.
+
+        Returns
+        -------
+        bool
+        """
+        return self.now() - built_at <= MAX_SEND_DELAY_S
+
+    def record_drained(self, at):
+        """Record that the socket for reports was found empty.
+
+        Parameters
+        ----------
+        at : float
+            Moment before the read that found nothing.
+        """
+        self._drained_at = at
+
+    def receive(self, age_ms, version, now):
+        """Record the age in the report of a peer.
+
+        The report may have waited in the socket since it was last empty. After a stall
+        it proves nothing, until the socket has been drained.
+
+        Parameters
+        ----------
+        age_ms : int or None
+            Age of what the store proved to the peer; None if it proved nothing.
+        version : int
+            Version of the peer's last change of the table.
+        now : float
+            Moment at which the report was read.
+        """
+        if age_ms is None or now - self._drained_at > MAX_DRAIN_GAP_S:
+            return
+        at = self._drained_at - max(0, age_ms) / 1000
+        if at <= self._as_of:
+            return
+        if self._applied is not None and version <= self._applied:
+            self._as_of = at
+        else:
+            self._unapplied = at, version
+
+
+def create_freshness(monotonic):
+    """Return the state of a process that has proved nothing yet.
+
+    Parameters
+    ----------
+    monotonic
+        As of `Freshness`.
+
+    Returns
+    -------
+    Freshness
+    """
+    return Freshness(monotonic)
--- a/quetzalwall/process/cluster/peer_socket.py
+++ b/quetzalwall/process/cluster/peer_socket.py
@@ -1,5 +1,7 @@
 """Datagrams between instances, read in batches where many arrive."""
 
+from contextlib import suppress
+
 import gevent.socket
 import msgspec
 
@@ -11,6 +13,8 @@
 
 MAX_DATAGRAM_BYTES = 60_000
 DATAGRAMS_PER_WAKEUP = 64  # read before other tasks run
+# A report counts as having waited since the socket was last found empty.
+MAX_IDLE_S = 0.25
 LOG = get_logger("fleet")
 
 
@@ -30,12 +34,15 @@
         many arrive.
     traffic : TrafficMeter or None
         Counts the bytes sent; None counts none.
+    freshness : Freshness
+        Learns when the socket was empty, and whether a report has been delayed.
     """
 
-    def __init__(self, host, port, on_report, read_delay_s, traffic):
+    def __init__(self, host, port, on_report, read_delay_s, traffic, freshness):
         self._port = port
         self._traffic = traffic
         self._on_report = on_report
+        self._freshness = freshness
         sock = gevent.socket.socket(gevent.socket.AF_INET, gevent.socket.SOCK_DGRAM)
         try:
             sock.bind((host, port))
@@ -51,7 +58,7 @@
         self._task.kill()
         self._sock.close()
 
-    def send(self, report, recipients):
+    def send(self, report, recipients, built_at):
         """Send a report; the next one makes up for a lost datagram.
 
         Parameters
@@ -60,9 +67,15 @@
             The report.
         recipients : sequence of PeerInfo
             Instances to send it to.
+        built_at : float
+            Moment at which the report was built.
         """
         raw = encode_report(report)
         for info in recipients:
+            tells_age = report.as_of_age_ms is not None
+            if tells_age and not self._freshness.may_tell_age(built_at):
+                report = report._replace(as_of_age_ms=None)
+                raw = encode_report(report)
             try:
                 self._sock.sendto(raw, (info.host, self._port))
             except OSError as exc:
@@ -72,11 +85,14 @@
                 self._traffic.record("report", len(raw), info.region, info.domain)
 
     def _receive(self):
-        gevent.socket.wait_read(self._sock.fileno())
+        with suppress(TimeoutError):
+            gevent.socket.wait_read(self._sock.fileno(), timeout=MAX_IDLE_S)
         for _ in range(DATAGRAMS_PER_WAKEUP):
+            before = self._freshness.now()
             try:
                 raw = self._sock.recv(MAX_DATAGRAM_BYTES)
             except BlockingIOError:
+                self._freshness.record_drained(before)
                 return
             try:
                 report = decode_report(raw)
--- a/quetzalwall/process/cluster/store_watch.py
+++ b/quetzalwall/process/cluster/store_watch.py
@@ -11,6 +11,7 @@
 
 from quetzalwall.exceptions import MissingRows, StoreError
 from quetzalwall.logs import get_logger, log_event
+from quetzalwall.platform.rows import OPERATOR_TABLE
 from quetzalwall.platform.store import HistoryGone
 from quetzalwall.process.cluster.store_readers import (
     follows_store,
@@ -85,6 +86,9 @@
         self._last_followed = -math.inf
         self._called_at = None
         self._behind_since = None
+        self._freshness = None
+        if table == OPERATOR_TABLE:
+            self._freshness = fleet.table_updates.freshness
         self._apply_lock = BoundedSemaphore(1)
         self._tasks = []
 
@@ -187,6 +191,8 @@
             log_event(LOG, "behind", "warning", table=self._table)
             return True
         age_s = self._monotonic() - self.confirmed_at
+        if self._rejects_when_stale():
+            age_s = max(age_s, self._freshness.age_s())
         max_age_s = (
             FIRST_READER_LONG_POLL_S
             + CALL_PAUSE_S
@@ -198,12 +204,18 @@
             return True
         return False
 
+    def _rejects_when_stale(self):
+        return self._freshness is not None and self._freshness.fail_closed
+
     def _long_poll_s(self):
-        return FIRST_READER_LONG_POLL_S if is_first_reader(self._fleet) else LONG_POLL_S
+        # Twice a long poll of 2 s and the time between them would reach `revoke`.
+        if self._rejects_when_stale() or is_first_reader(self._fleet):
+            return FIRST_READER_LONG_POLL_S
+        return LONG_POLL_S
 
     def _call(self, wait_s):
         complete, after = self._read_all, self._version
-        self._called_at = self._monotonic()
+        sent = self._called_at = self._monotonic()
         if complete:
             rows = self._store.read(self._table)
         else:
@@ -218,6 +230,8 @@
             self.confirmed_at = self._monotonic()
             version = self._fleet.table_versions.get(self._table, 0)
             self._fleet.table_updates.confirm(self._table, version, self.confirmed_at)
+            if self._freshness is not None:
+                self._freshness.confirm(sent, 0 if complete or rows.rows else wait_s)
 
     def _apply(self, rows, complete, after_outage, after):
         """Apply the changes after a version; return whether they were applied.
@@ -231,6 +245,8 @@
                 return False
             self._on_rows(rows, complete, after_outage)
             self._version = rows.version
+            if self._freshness is not None:
+                self._freshness.record_applied(rows.version)
             self.loaded = True
             return True
 
--- a/quetzalwall/process/cluster/table_updates.py
+++ b/quetzalwall/process/cluster/table_updates.py
@@ -2,6 +2,9 @@
 
 import math
 
+from quetzalwall.platform.rows import OPERATOR_TABLE
+from quetzalwall.process.cluster.freshness import create_freshness
+
 __all__ = ["TableUpdates"]
 
 
@@ -11,9 +14,20 @@
     A confirmation says that at some moment the table in the store had no change after a
     version. Reports carry it with its age, so that an instance that does not read the
     store itself knows how old its copy of the table is.
+
+    Parameters
+    ----------
+    monotonic : callable
+        Clock in seconds.
+
+    Attributes
+    ----------
+    freshness : Freshness
+        Decides from stricter proofs whether keys of accounts may be used.
     """
 
-    def __init__(self):
+    def __init__(self, monotonic):
+        self.freshness = create_freshness(monotonic)
         self._newest_versions = {}
         self._own_confirmations = {}
         self._confirmations = {}
@@ -45,6 +59,8 @@
         for table, version in report.table_versions.items():
             if version > self._newest_versions.get(table, 0):
                 self._newest_versions[table] = version
+        version = report.table_versions.get(OPERATOR_TABLE, 0)
+        self.freshness.receive(report.as_of_age_ms, version, now)
         for table, age_ms in report.confirmation_ages_ms.items():
             self._record_confirmation(
                 table, now - age_ms / 1000, report.table_versions.get(table, 0)
--- /dev/null
+++ b/quetzalwall/process/cluster/tests/test_freshness.py
@@ -0,0 +1,178 @@
+"""As of which moment the operators' table is known, from the store and from peers."""
+
+import math
+from types import SimpleNamespace
+
+import gevent
+import gevent.socket
+from nose2.tools import params
+
+from quetzalwall.platform.settings import Bounds
+from quetzalwall.process.cluster.fleet import LOCAL_DATAGRAMS_PER_S
+from quetzalwall.process.cluster.freshness import (
+    MARGIN_S,
+    MAX_DRAIN_GAP_S,
+    create_freshness,
+)
+from quetzalwall.process.cluster.peer_report import decode_report
+from quetzalwall.process.cluster.peer_socket import MAX_IDLE_S, PeerSocket
+from quetzalwall.process.cluster.report_group import MIN_REPORT_PERIOD_S, ReportGroup
+from quetzalwall.process.cluster.store_readers import ALL_READ_BELOW
+from quetzalwall.process.cluster.store_watch import (
+    CALL_PAUSE_S,
+    FIRST_READER_LONG_POLL_S,
+)
+from quetzalwall.process.cluster.tests.test_cluster_state import create_report
+from quetzalwall.tests.platform_fixtures import ManualClock, free_ports, own_address
+
+CLOSED = Bounds(fail_closed=True)
+REGIONS = 3
+CALL_S = 0.1  # of a call beyond its wait, between regions
+TRANSIT_S = 0.04  # of a report within a region
+START_S, STEP_S = 1000.0, 0.01
+
+
+def create():
+    clock = ManualClock()
+    freshness = create_freshness(clock.monotonic)
+    freshness.configure(CLOSED)
+    freshness.record_drained(clock.now)
+    return freshness, clock
+
+
+# A process that has just started counted its start as a confirmation: a restart while
+# the store is down would accept keys that were revoked before.
+def test_a_process_that_has_just_started_has_proved_nothing():
+    freshness, clock = create()
+    assert freshness.is_stale() and freshness.own_age_ms(clock.now) is None
+    freshness.receive(0, 0, clock.now)  # a peer whose table is empty
+    assert freshness.is_stale()
+
+
+# The arrival of a response proves nothing: it may have waited in the network, or in the
+# socket of a process that was stopped.
+@params(
+    (1.0, 1.0, 1.0),
+    (1.0, 1.4, 1.0),
+    (1.0, 0.9, 0.0),
+    (1.0, 6.0, 0.0),
+    (0.0, 0.3, 0.0),
+)
+def test_a_call_proves_its_wait_only_if_the_response_arrives_then(wait_s, s, proved_s):
+    freshness, clock = create()
+    sent = clock.now
+    clock.now += s
+    freshness.confirm(sent, wait_s)
+    assert math.isclose(freshness.age_s(), s - proved_s)
+    assert freshness.own_age_ms(clock.now) == math.ceil(round(1000 * (s - proved_s), 6))
+
+
+def test_the_bound_is_enforced_only_as_the_settings_say():
+    freshness, clock = create()
+    freshness.confirm(clock.now, 0)
+    clock.now += CLOSED.revoke_s - MARGIN_S
+    assert not freshness.is_stale()
+    clock.now += 0.01
+    assert freshness.is_stale()
+    freshness.configure(CLOSED._replace(revoke_s=9.0))
+    assert not freshness.is_stale()
+    clock.now += 3600
+    assert freshness.is_stale()
+    freshness.configure(Bounds())
+    assert not freshness.is_stale()
+
+
+# A peer that knows a later version confirms that one, not what is known here.
+def test_a_report_of_a_later_version_counts_once_that_is_applied():
+    freshness, clock = create()
+    freshness.record_applied(5)
+    freshness.receive(300, 6, clock.now)
+    assert freshness.is_stale()
+    freshness.record_applied(5)
+    assert freshness.is_stale()
+    freshness.record_applied(7)
+    assert math.isclose(freshness.age_s(), 0.3)
+
+
+# An age that went from peer to peer would be told for ever while all are cut off.
+def test_only_what_the_store_itself_proved_is_told_on():
+    freshness, clock = create()
+    freshness.record_applied(5)
+    freshness.receive(300, 5, clock.now)
+    assert not freshness.is_stale() and freshness.own_age_ms(clock.now) is None
+
+
+# Datagrams wait in the socket of a stopped process; their ages leave out that time.
+def test_a_report_read_after_a_stall_proves_nothing_until_the_socket_is_empty():
+    freshness, clock = create()
+    freshness.record_applied(5)
+    clock.now += MAX_DRAIN_GAP_S - 0.1
+    freshness.receive(100, 5, clock.now)
+    # It may have come at any moment since the socket was empty.
+    assert math.isclose(freshness.age_s(), MAX_DRAIN_GAP_S)
+    clock.now += 6.0
+    freshness.receive(0, 5, clock.now)
+    assert freshness.is_stale()
+    freshness.record_drained(clock.now)
+    freshness.receive(0, 5, clock.now)
+    assert not freshness.is_stale()
+
+
+def largest_regular_age_s(instances):
+    """Return the largest age at an instance that relies on the reports of a reader.
+
+    Every call of the reader returns rows just before its wait ends, so that it proves
+    only when it was sent, and each report waits in the socket for longest.
+    """
+    group = ReportGroup(True, LOCAL_DATAGRAMS_PER_S)
+    group.peers = math.ceil(instances / REGIONS) - 1
+    period_s, clock = group.period_s(), ManualClock()
+    reader, other = (create_freshness(clock.monotonic) for _ in range(2))
+    other.record_applied(1)
+    asked = reader if instances <= ALL_READ_BELOW else other
+    call_s = FIRST_READER_LONG_POLL_S + CALL_S
+    wait_s = MAX_IDLE_S + MIN_REPORT_PERIOD_S + TRANSIT_S
+    ages_s, told, sent, next_report = [], [], clock.now, clock.now
+    while clock.now < START_S + 60.0:
+        clock.now += STEP_S
+        if asked.age_s() < math.inf:
+            ages_s.append(asked.age_s())
+        if clock.now >= sent + call_s:
+            reader.confirm(sent, 0)
+            sent += call_s + CALL_PAUSE_S
+        if clock.now >= next_report:
+            told.append((clock.now, reader.own_age_ms(clock.now)))
+            next_report += period_s
+        if told and clock.now >= told[0][0] + wait_s:
+            sent_at, age_ms = told.pop(0)
+            other.record_drained(sent_at)
+            other.receive(age_ms, 1, clock.now)
+    return max(ages_s)
+
+
+# 1.0 s of long poll and 0.25 s of pause, and reports up to 0.7 s apart: the check must
+# never reject a request while nothing fails.
+@params(7, 36, 121)
+def test_in_normal_operation_the_table_is_never_stale(instances):
+    assert largest_regular_age_s(instances) < CLOSED.revoke_s - MARGIN_S
+
+
+def test_reports_that_were_held_up_before_they_were_sent_tell_no_age():
+    port, now = free_ports(1)[0], [1000.0]
+    received = []
+    freshness = create_freshness(lambda: now[0])
+    sender = PeerSocket(
+        own_address(0), port, received.append, lambda: 0, None, freshness
+    )
+    receiver = gevent.socket.socket(gevent.socket.AF_INET, gevent.socket.SOCK_DGRAM)
+    receiver.bind((own_address(1), port))
+    receiver.settimeout(2.0)
+    try:
+        peer = SimpleNamespace(host=own_address(1), region="north", domain="north-a")
+        report = create_report(as_of_age_ms=40)
+        for built_at, expected in ((1000.0, 40), (994.0, None)):
+            sender.send(report, [peer], built_at)
+            assert decode_report(receiver.recv(2000)).as_of_age_ms == expected
+    finally:
+        receiver.close()
+        sender.close()
--- a/quetzalwall/process/front.py
+++ b/quetzalwall/process/front.py
@@ -91,6 +91,8 @@
         tables = TREE_TABLES if from_tree else PLATFORM_TABLES
         cluster = create_cluster(settings, dialect, tables, rng, now)
         self.endpoints, self.fleet, self.cluster_state, self.traffic = cluster
+        self._freshness = self.fleet.table_updates.freshness
+        self._freshness.configure(settings.bounds)
         self.cluster_state.on_configuration = self._apply_configuration
         self._peer_tables = create_peer_tables(
             self.fleet, settings.listen.peers[1], lambda: self.settings.seeds, rng, now
@@ -246,6 +248,7 @@
         self._settings_signature = _file_signature(self._settings_file)
         self.limits.retry_budget.configure(settings.bounds)
         self.limits.cold_start_limiter.configure(settings.bounds)
+        self._freshness.configure(settings.bounds)
         self.endpoints.domains = settings.domains
         self.settings = self.settings._replace(
             bounds=settings.bounds, domains=settings.domains, seeds=settings.seeds
