Reject keys that may have been revoked, before each send

Cause: a request was sent with the key that was valid when it arrived, and an instance that was cut off from the store accepted a revoked key for as long as that lasted.

Before each send, also after a connection was opened and before a retry, the key is looked up in the active configuration if that is another one than the request's: 401 if it is gone and the request has not run, 503 if it is now another account's. The log lines name the account.

--- a/quetzalwall/exceptions.py
+++ b/quetzalwall/exceptions.py
@@ -5,8 +5,10 @@
 """
 
 __all__ = [
+    "ConfigurationStale",
     "EndpointError",
     "IncompleteAnswer",
+    "KeyRevoked",
     "ListenError",
     "MissingRows",
     "NoRoom",
@@ -131,6 +133,14 @@
     """The instance can open no further connection; the endpoint is not at fault."""
 
 
+class KeyRevoked(NotSent):
+    """No client account holds the key of the request any more."""
+
+
+class ConfigurationStale(NotSent):
+    """It is not known whether the key of the request is still valid."""
+
+
 class OutcomeUnknown(EndpointError):
     """The request may have run: it may have been sent, and no response was received."""
 
--- a/quetzalwall/request/request_log.py
+++ b/quetzalwall/request/request_log.py
@@ -53,7 +53,7 @@
 
 
 def log_unknown_key(metadata, route, version):
-    """Log that a request has no key, or one that no account holds.
+    """Log that a request has no key, or one that no account holds (any more).
 
     Parameters
     ----------
@@ -70,6 +70,7 @@
         "warning",
         req=metadata.request_id,
         route=route.name,
+        account=metadata.account or "none",
         has_key=bool(metadata.credential),
         version=version,
     )
@@ -131,6 +132,7 @@
     retry_after_s : float
         Seconds after which the caller should try again.
     """
+    fields = {"account": metadata.account} if metadata.account else {}
     log_event(
         LOG,
         "refused",
@@ -139,6 +141,7 @@
         route=route or "none",
         reason=reason,
         retry_after_s=retry_after_s,
+        **fields,
     )
 
 
--- a/quetzalwall/request/request_reader.py
+++ b/quetzalwall/request/request_reader.py
@@ -2,6 +2,7 @@
 
 from quetzalwall.connection.caller_connection import NoMemory, read_body
 from quetzalwall.connection.http_server import BadRequest
+from quetzalwall.request.account_access import STALE_CONFIGURATION
 from quetzalwall.request.choice import Rejection
 from quetzalwall.request.latency_model import min_of_known
 from quetzalwall.request.request import Request, object_hash
@@ -69,6 +70,7 @@
     def __init__(self, dialect, cluster_state, split):
         self._dialect = dialect
         self._cluster_state = cluster_state
+        self._freshness = cluster_state.fleet.table_updates.freshness
         self._split = split
 
     def is_idempotent(self, environ):
@@ -121,8 +123,9 @@
         CallerLeft
             The caller closed its connection.
         Refused
-            There is no configuration yet, no region that the route and the account
-            allow, or no memory for the body.
+            There is no configuration yet, the key may have been revoked or added since,
+            no region is allowed by both route and account, or there is no memory for
+            the body.
         """
         arrived = environ["quetzalwall.exchange"].arrived
         metadata = self._dialect.parse_request(environ)
@@ -135,7 +138,7 @@
             path = target.partition("?")[0]
             log_no_route(metadata, host, path, cfg.version)
             raise BadRequest(404, f"no route for {host}{path[:80]}")
-        account = _find_account(cfg, route, metadata)
+        account = self._find_account(cfg, route, metadata)
         if account is not None:
             metadata = metadata._replace(account=account.name)
             name, route = route.name, route_for_account(route, account)
@@ -163,16 +166,20 @@
             account=account,
         )
 
-
-def _find_account(cfg, route, metadata):
-    """Return the account of a request; None if its route needs none."""
-    if cfg.accounts is None or route.public:
-        return None
-    account = cfg.accounts.find(metadata.credential)
-    if account is None:
-        log_unknown_key(metadata, route, cfg.version)
-        raise UnknownKey(route.name)
-    return account
+    def _find_account(self, cfg, route, metadata):
+        """Return the account of a request; None if its route needs none."""
+        if cfg.accounts is None or route.public:
+            return None
+        account = cfg.accounts.find(metadata.credential)
+        # A key that is unknown here may have been added since.
+        if metadata.credential and self._freshness.is_stale():
+            name = "" if account is None else account.name
+            metadata = metadata._replace(account=name)
+            raise Refused(metadata, route.name, STALE_CONFIGURATION)
+        if account is None:
+            log_unknown_key(metadata, route, cfg.version)
+            raise UnknownKey(route.name)
+        return account
 
 
 def create_request_reader(dialect, cluster_state, split):
--- a/quetzalwall/request/request_server.py
+++ b/quetzalwall/request/request_server.py
@@ -5,19 +5,20 @@
 
 import gevent
 
-from quetzalwall.connection.caller_connection import (
-    CallerLeft,
-)
+from quetzalwall.connection.caller_connection import CallerLeft
 from quetzalwall.connection.endpoint_request import EndpointRequest
 from quetzalwall.connection.http_server import BadRequest
 from quetzalwall.exceptions import (
+    ConfigurationStale,
     EndpointError,
     IncompleteAnswer,
+    KeyRevoked,
     NoRoom,
     NotRun,
     NotSent,
     OutcomeUnknown,
 )
+from quetzalwall.request.account_access import STALE_CONFIGURATION, check_access
 from quetzalwall.request.attempt_failure import record_attempt_failure
 from quetzalwall.request.choice import STOPPING, Rejection
 from quetzalwall.request.limit_announcement import record_limit_announcement
@@ -38,6 +39,8 @@
 
 FAILED_RETRY_S = 0.2  # Retry-After if all attempts failed
 MIN_FAILURE_STATUS = 500  # HTTP status from which on the endpoint has failed
+# Another endpoint would not change the result of the request.
+FINAL_FAILURES = (NoRoom, KeyRevoked, ConfigurationStale)
 MIN_ATTEMPT_S = 0.02  # with less time remaining, another attempt would time out
 
 
@@ -189,7 +192,7 @@
             except EndpointError as exc:
                 failure = more_severe(failure, exc)
                 self._record_failure(req, exc, choice.state)
-                if isinstance(exc, NoRoom):
+                if isinstance(exc, FINAL_FAILURES):
                     break
                 continue
             result = RequestResult(res, "answered", choice.state.name)
@@ -251,6 +254,7 @@
         return self._limits.retry_budget.try_acquire(req.service, now, instances)
 
     def _attempt(self, req, choice, should_abandon):
+        check_access(req, self._cluster_state)
         state = choice.state
         began = self._monotonic()
         deadline = min(req.deadline, self._grace.end)
@@ -282,6 +286,7 @@
         return self._check_response(req, choice, res, meta, began)
 
     def _check_may_send(self, req, choice):
+        check_access(req, self._cluster_state)
         endpoints, now = self._cluster_state.endpoints, self._monotonic()
         check_may_send(req, choice, endpoints, self._chooser, self._grace, now)
 
@@ -319,6 +324,13 @@
         )
 
     def _failure_result(self, req, exc):
+        if isinstance(exc, KeyRevoked):
+            self._metrics.record_rejection(req.route.name, exc.message)
+            error = self._dialect.bad_request(BadRequest(401, exc.message))
+            return RequestResult(error, "refused")
+        if isinstance(exc, ConfigurationStale):
+            fields = req.metadata, req.route.name, "admission", *STALE_CONFIGURATION
+            return RequestResult(self._reject(*fields), "refused")
         if isinstance(exc, NotRun):
             res = self._dialect.reject(FAILED_RETRY_S, exc.step, exc.message, exc.peer)
             return RequestResult(res, "not-run")
