--- a/quetzalwall/process/cluster/fleet.py
+++ b/quetzalwall/process/cluster/fleet.py
@@ -379,7 +379,7 @@
             list(group.cached),
             self.table_updates.confirmation_ages_ms(now),
             advertised_limits,
-            self.table_updates.freshness.own_age_ms(now),
+            self.table_updates.freshness.own_proof(now),
         )
 
 
--- a/quetzalwall/process/cluster/freshness.py
+++ b/quetzalwall/process/cluster/freshness.py
@@ -15,6 +15,11 @@
 MAX_DRAIN_GAP_S = 0.5  # a longer time without reading the socket is a stall
 MAX_SEND_DELAY_S = 0.2  # after which the age in a report is no longer sent
 MAX_LATE_RESPONSE_S = 0.5  # later, a stall may hide that the store responded early
+MAX_TOLD_AGE_S = 20.0  # an older moment is of no use to peers
+# For which the least delay of a peer's reports is kept. Clocks drift by 0.06 s in it;
+# in a shorter one, the delay on a link with much traffic would become the least.
+DELAY_WINDOW_S = 300.0
+MAX_SILENT_S = 3600.0  # then the state of a peer's process is discarded
 
 
 class Freshness:
@@ -42,6 +47,7 @@
         self._applied = None
         self._unapplied = None
         self._drained_at = -math.inf
+        self._delays = {}
 
     def configure(self, bounds):
         """Set the bound on the age of the table.
@@ -105,8 +111,8 @@
         self._own_as_of = max(self._own_as_of, waited_until)
         self._as_of = max(self._as_of, waited_until)
 
-    def own_age_ms(self, now):
-        """Return the age of what the store itself proved to this instance.
+    def own_proof(self, now):
+        """Return what the store itself proved to this instance, for a report.
 
         Parameters
         ----------
@@ -115,12 +121,14 @@
 
         Returns
         -------
-        int or None
-            Milliseconds, rounded up; None if it has proved nothing yet.
+        (int, int) or None
+            The present moment and the age of the as-of moment, in milliseconds; None if
+            nothing has been proved lately.
         """
-        if self._own_as_of == -math.inf:
+        age_s = now - self._own_as_of
+        if age_s > MAX_TOLD_AGE_S:
             return None
-        return math.ceil((now - self._own_as_of) * 1000)
+        return math.floor(now * 1000), math.ceil(age_s * 1000)
 
     def may_tell_age(self, built_at):
         """Return whether the ages in a report still hold when it is sent.
@@ -146,24 +154,29 @@
         """
         self._drained_at = at
 
-    def receive(self, age_ms, version, now):
-        """Record the age in the report of a peer.
+    def receive(self, process_id, proof, version, now):
+        """Record what the store proved to a peer.
 
-        The report may have waited in the socket since it was last empty. After a stall
-        it proves nothing, until the socket has been drained.
+        The report may have waited in the socket since it was last empty, and in the
+        network for as long as it took longer than others. After a stall it proves
+        nothing, until the socket has been drained.
 
         Parameters
         ----------
-        age_ms : int or None
-            Age of what the store proved to the peer; None if it proved nothing.
+        process_id : int
+            The peer's process.
+        proof : (int, int) or None
+            As of `own_proof`.
         version : int
             Version of the peer's last change of the table.
         now : float
             Moment at which the report was read.
         """
-        if age_ms is None or now - self._drained_at > MAX_DRAIN_GAP_S:
+        if proof is None or now - self._drained_at > MAX_DRAIN_GAP_S:
             return
-        at = self._drained_at - max(0, age_ms) / 1000
+        built_at, age_s = proof[0] / 1000, max(0, proof[1]) / 1000
+        built_at += self._least_delay_s(process_id, now - built_at, now)
+        at = min(self._drained_at, built_at) - age_s
         if at <= self._as_of:
             return
         if self._applied is not None and version <= self._applied:
@@ -171,6 +184,25 @@
         else:
             self._unapplied = at, version
 
+    def _least_delay_s(self, process_id, delay_s, now):
+        """Return the least delay of a process's reports.
+
+        Delays include the difference of the two clocks. A former one that no longer
+        holds, since clocks drift, is too small, or larger than the present one.
+        """
+        delays = self._delays.get(process_id)
+        if delays is None:
+            self._delays = {
+                known: value
+                for known, value in self._delays.items()
+                if now - value[2] < MAX_SILENT_S
+            }
+            delays = self._delays[process_id] = [math.inf, math.inf, now]
+        elif now - delays[2] > DELAY_WINDOW_S:
+            delays[:] = math.inf, delays[0], now
+        delays[0] = min(delays[0], delay_s)
+        return min(delays[0], delays[1])
+
 
 def create_freshness(monotonic):
     """Return the state of a process that has proved nothing yet.
--- a/quetzalwall/process/cluster/peer_report.py
+++ b/quetzalwall/process/cluster/peer_report.py
@@ -69,9 +69,9 @@
     advertised_limits : list of (int, int, int, int, int)
         Code of an endpoint that advertises a limit, and the figures of
         `AdvertisedLimit.own_report`.
-    as_of_age_ms : int or None
-        Age in ms of what the store proved to the sender of the operators' table; None
-        if nothing, or if the report was delayed.
+    operators_proof : (int, int) or None
+        As of which moment the store proved the operators' table to the sender, as of
+        `Freshness.own_proof`; None if it did not, or if the report was delayed.
     """
 
     sender: PeerInfo | None
@@ -85,7 +85,7 @@
     cached: list[tuple[int, int]]
     confirmation_ages_ms: dict[str, int] = {}
     advertised_limits: list[tuple[int, int, int, int, int]] = []
-    as_of_age_ms: int | None = None
+    operators_proof: tuple[int, int] | None = None
 
 
 _DECODER = msgspec.msgpack.Decoder(PeerReport)
--- a/quetzalwall/process/cluster/peer_socket.py
+++ b/quetzalwall/process/cluster/peer_socket.py
@@ -72,9 +72,9 @@
         """
         raw = encode_report(report)
         for info in recipients:
-            tells_age = report.as_of_age_ms is not None
-            if tells_age and not self._freshness.may_tell_age(built_at):
-                report = report._replace(as_of_age_ms=None)
+            proves = report.operators_proof is not None
+            if proves and not self._freshness.may_tell_age(built_at):
+                report = report._replace(operators_proof=None)
                 raw = encode_report(report)
             try:
                 self._sock.sendto(raw, (info.host, self._port))
--- a/quetzalwall/process/cluster/table_updates.py
+++ b/quetzalwall/process/cluster/table_updates.py
@@ -60,7 +60,8 @@
             if version > self._newest_versions.get(table, 0):
                 self._newest_versions[table] = version
         version = report.table_versions.get(OPERATOR_TABLE, 0)
-        self.freshness.receive(report.as_of_age_ms, version, now)
+        proof = report.operators_proof
+        self.freshness.receive(report.process_id, proof, version, now)
         for table, age_ms in report.confirmation_ages_ms.items():
             self._record_confirmation(
                 table, now - age_ms / 1000, report.table_versions.get(table, 0)
