Lead operators from a 401 and a stale 503 to the cause

Cause: nothing said when an instance began to reject keys, how old its as-of moment is, or how the margin comes about.

Result: tests of freshness and of the store that responds to none pass.

--- a/quetzalwall/process/cluster/freshness.py
+++ b/quetzalwall/process/cluster/freshness.py
@@ -7,6 +7,8 @@
 
 import math
 
+from quetzalwall.logs import get_logger, log_event
+
 __all__ = ["Freshness", "create_freshness"]
 
 # From the check of a request to its arrival at the endpoint, and what the age in a
@@ -20,6 +22,7 @@
 # in a shorter one, the delay on a link with much traffic would become the least.
 DELAY_WINDOW_S = 300.0
 MAX_SILENT_S = 3600.0  # then the state of a peer's process is discarded
+LOG = get_logger("store")
 
 
 class Freshness:
@@ -48,6 +51,8 @@
         self._unapplied = None
         self._drained_at = -math.inf
         self._delays = {}
+        self._logged_stale = False
+        self._started_at = monotonic()
 
     def configure(self, bounds):
         """Set the bound on the age of the table.
@@ -81,6 +86,24 @@
         """
         return self.now() - self._as_of
 
+    def log_changes(self):
+        """Log it if the table has become stale, or current again.
+
+        After a start it is not logged as stale until the bound has passed.
+
+        Returns
+        -------
+        float
+            As of `age_s`.
+        """
+        age_s = self.age_s()
+        stale = min(age_s, self.now() - self._started_at) > self._max_age_s
+        if stale != self._logged_stale:
+            self._logged_stale = stale
+            event, level = ("stale", "error") if stale else ("current", "info")
+            log_event(LOG, event, level, age_s=age_s, max_age_s=self._max_age_s)
+        return age_s
+
     def record_applied(self, version):
         """Record up to which version of the store the table has been applied.
 
--- a/quetzalwall/process/front.py
+++ b/quetzalwall/process/front.py
@@ -284,6 +284,7 @@
         self.limits.shifts.adjust()
         age_s = max(watch.check_staleness() for watch in self._watches.values())
         self.metrics.set_gauge("knowledge_age_seconds", age_s)
+        self.metrics.set_gauge("as_of_age_seconds", self._freshness.log_changes())
         if self.endpoints.removal_count != self._removals_seen:
             self._removals_seen = self.endpoints.removal_count
             self.limits.cold_start_limiter.prune(
--- a/quetzalwall/process/tests/test_stale_configuration.py
+++ b/quetzalwall/process/tests/test_stale_configuration.py
@@ -9,6 +9,7 @@
 
 from quetzalwall.platform.store import RowChange, Rows
 from quetzalwall.process.cluster.tests.test_cluster_state import create
+from quetzalwall.process.front import TICK_PERIOD_S
 from quetzalwall.tests.account_fixtures import (
     KEY,
     OTHER_KEY,
@@ -35,6 +36,7 @@
 BOTH = [account_row(), account_row("beta", [OTHER_KEY])]
 REVOKED = [account_row(keys=()), account_row("beta", [OTHER_KEY])]
 STALL_S = 6.0
+EVENTS = ("stale", "current")
 
 
 @contextmanager
@@ -103,6 +105,8 @@
             proxy.reset()
             proxy.fault = ""
         wait_for(lambda: send(site) == 200, 2.0)
+        gevent.sleep(TICK_PERIOD_S + 0.1)
+    assert [sum(f"event={e}" in line for line in lines) for e in EVENTS] == [2, 2]
     line = next(line for line in lines if 'reason="stale configuration"' in line)
     assert "req=" in line and "account=alpha" in line
     assert not any(KEY in line for line in lines)
