--- a/quetzalwall/process/cluster/tests/test_freshness.py
+++ b/quetzalwall/process/cluster/tests/test_freshness.py
@@ -8,6 +8,7 @@
 import gevent.socket
 from nose2.tools import params
 
+from quetzalwall.clock import system_clock
 from quetzalwall.platform.settings import Bounds
 from quetzalwall.platform.store import Rows
 from quetzalwall.process.cluster.fleet import LOCAL_DATAGRAMS_PER_S, create_fleet
@@ -20,13 +21,14 @@
 from quetzalwall.process.cluster.peer_report import PeerInfo, decode_report
 from quetzalwall.process.cluster.peer_socket import MAX_IDLE_S, PeerSocket
 from quetzalwall.process.cluster.report_group import MIN_REPORT_PERIOD_S, ReportGroup
-from quetzalwall.process.cluster.store_readers import ALL_READ_BELOW
+from quetzalwall.process.cluster.store_readers import ALL_READ_BELOW, follows_store
 from quetzalwall.process.cluster.store_watch import (
     CALL_PAUSE_S,
     FIRST_READER_LONG_POLL_S,
     create_table_watch,
 )
 from quetzalwall.process.cluster.tests.test_cluster_state import create_report
+from quetzalwall.process.cluster.tests.test_store_watch import create_fleet_with_peers
 from quetzalwall.tests.platform_fixtures import ManualClock, free_ports, own_address
 
 CLOSED = Bounds(fail_closed=True)
@@ -171,6 +173,18 @@
     assert fleet.table_updates.freshness.age_s() == 2.0
 
 
+# An instance that relies on others would reject keys while their reports prove nothing,
+# though they confirm the table otherwise and the store responds.
+@params((True, True), (False, False))
+def test_the_store_is_asked_if_reports_prove_too_little(fail_closed, expected):
+    fleet = create_fleet_with_peers([own_address(n) for n in range(12)], 0)
+    fleet.table_updates.freshness.configure(Bounds(fail_closed=fail_closed))
+    monotonic = system_clock().monotonic
+    watch = create_table_watch(None, "op", None, None, fleet, monotonic)
+    assert not follows_store(fleet)
+    assert watch._needs_store() == expected
+
+
 def largest_regular_age_s(instances):
     """Return the largest age at an instance that relies on the reports of a reader.
 
