Count a response without a length only after an orderly close, and read it once

Cause: the kernel reports the error of a reset once. The task that sent a long upload took and dropped it, so the reader saw an end of stream and passed a part of a response on as complete; the JSON client did the same after its own write had failed. And the parser completes a response without a length at each read of an ended stream: if it named another request, the attempt read on without end and without yielding.

Change: at the end of the stream the state of the connection is asked for. FIN must have ended it, no reset may have followed, and the endpoint must have acknowledged the request, as a peer that closes while data arrives may send FIN before its reset. An attempt ends with the stream. A socket yields before each further read of an ended stream.

--- a/quetzalwall/connection/endpoint_client.py
+++ b/quetzalwall/connection/endpoint_client.py
@@ -16,6 +16,7 @@
 from quetzalwall.connection.connection_limiter import ConnectionLimiter, connect_error
 from quetzalwall.connection.endpoint_connection import EndpointConnection
 from quetzalwall.connection.nodelay import is_readable
+from quetzalwall.connection.response_checks import is_closed_in_order
 from quetzalwall.connection.response_parser import ResponseParser
 from quetzalwall.exceptions import IncompleteAnswer, NotRun, OutcomeUnknown
 
@@ -227,6 +228,7 @@
         self._req = req
         self._conn = None
         self._sender = None
+        self._ended = False  # the end of the stream has been read
         self._reserved_bytes = 0
 
     def run(self, raw):
@@ -265,9 +267,11 @@
 
     def _is_reusable(self, parser):
         """Return whether all was sent and nothing follows the response."""
-        unsent = self._sender is not None and not self._sender.ready()
         excess = bool(parser.responses) or not parser.between_responses()
-        return not unsent and not excess and not is_readable(self._conn.sock)
+        return self._is_sent() and not excess and not is_readable(self._conn.sock)
+
+    def _is_sent(self):
+        return self._sender is None or self._sender.ready()
 
     def _send(self, raw):
         if len(raw) <= MAX_INLINE_BYTES:
@@ -287,6 +291,10 @@
                 parser.responses = responses[index + 1 :]
                 _check_consistent(found, index, name)
                 return responses[index], found[index]
+            if self._ended:
+                # The parser completes a response without a length at each further read.
+                error = IncompleteAnswer if parser.received_bytes else OutcomeUnknown
+                raise error("connection was closed", "read", name)
             self._read_more(parser, name)
 
     def _read_more(self, parser, name):
@@ -303,9 +311,11 @@
         except HTTPParseError as exc:
             error = IncompleteAnswer if parser.received_bytes else OutcomeUnknown
             raise error(f"not an answer: {exc}", "read", name) from exc
-        if not data and not parser.responses:
-            error = IncompleteAnswer if parser.received_bytes else OutcomeUnknown
-            raise error("connection was closed", "read", name)
+        if data:
+            return
+        self._ended = True
+        if parser.responses and not is_closed_in_order(self._conn.sock, self._is_sent):
+            raise IncompleteAnswer("connection was reset", "read", name)
 
     def _reserve(self, data, parser, name):
         """Reserve memory for bytes before they are parsed; raise if too many."""
@@ -350,7 +360,10 @@
 
 
 def _send_all(sock, raw):
-    """Send; a broken connection is noticed when the response is read."""
+    """Send; a broken connection is noticed when the response is read.
+
+    The next read may see an end of stream instead of the error: `is_closed_in_order`.
+    """
     try:
         sock.sendall(raw)
     except OSError:
--- /dev/null
+++ b/quetzalwall/connection/response_checks.py
@@ -0,0 +1,57 @@
+"""Checks of responses that the HTTP library leaves to its users."""
+
+import fcntl
+import math
+import socket
+import struct
+import termios
+import time
+
+import gevent
+
+__all__ = ["is_closed_in_order"]
+
+CLOSE_WAIT = 8  # state in tcp_info: the peer has sent FIN, and neither side a reset
+ACKNOWLEDGEMENT_POLL_S = 0.005
+
+
+def is_closed_in_order(sock, is_sent=None, timeout_s=None):
+    """Return whether a connection ended by FIN, after the peer got the whole request.
+
+    To be called at the end of the stream. That alone doesn't tell a close from a reset:
+    the error of a reset is reported once, to whichever task reads or writes first. A
+    peer that closes while a request arrives sends a reset, but maybe after a FIN. So
+    this waits until the peer has acknowledged the request.
+
+    Parameters
+    ----------
+    sock : gevent.socket.socket
+        The connection.
+    is_sent : callable, default=None
+        Returns whether the request has been written; None if it has.
+    timeout_s : float, default=None
+        Seconds to wait at most; None waits until the task's own time-out.
+
+    Returns
+    -------
+    bool
+        False also if the time is over.
+    """
+    deadline = time.monotonic() + (math.inf if timeout_s is None else timeout_s)
+    while _tcp_state(sock) == CLOSE_WAIT:
+        if (is_sent is None or is_sent()) and not _unacknowledged_bytes(sock):
+            # A reset may have come between the two calls.
+            return _tcp_state(sock) == CLOSE_WAIT
+        if time.monotonic() >= deadline:
+            return False
+        gevent.sleep(ACKNOWLEDGEMENT_POLL_S)
+    return False
+
+
+def _tcp_state(sock):
+    return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+
+
+def _unacknowledged_bytes(sock):
+    size = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+    return struct.unpack("i", size)[0]
--- a/quetzalwall/connection/single_attempt.py
+++ b/quetzalwall/connection/single_attempt.py
@@ -18,6 +18,7 @@
 )
 
 from quetzalwall.connection.nodelay import is_readable, set_nodelay
+from quetzalwall.connection.response_checks import is_closed_in_order
 from quetzalwall.connection.yielding_socket import MAX_HEAD_BYTES, YieldingSocket
 from quetzalwall.exceptions import NotRun, OutcomeUnknown
 
@@ -280,9 +281,15 @@
         Raises
         ------
         HTTPParseError
-            The response is malformed or truncated, or its head is too long.
+            The response is malformed or truncated, its head is too long, or a reset
+            ended the connection before the response was complete.
         """
         self._received_bytes += len(data)
+        in_body = self.headers_complete and not self._is_complete
+        if not data and in_body:
+            timeout_s = self._sock.gettimeout()
+            if not is_closed_in_order(self._sock, timeout_s=timeout_s):
+                raise HTTPParseError("connection was reset")
         try:
             super().feed(data)
         except HTTPParseError:
--- a/quetzalwall/connection/yielding_socket.py
+++ b/quetzalwall/connection/yielding_socket.py
@@ -17,7 +17,10 @@
 
 
 class YieldingSocket(gevent.socket.socket):
-    """Socket that yields to other tasks once per `YIELD_AFTER_BYTES` read."""
+    """Socket that yields to other tasks once per `YIELD_AFTER_BYTES` read.
+
+    After the end of the stream it yields before each further read.
+    """
 
     _bytes_since_yield = 0
 
@@ -35,7 +38,7 @@
         """
         self._yield_if_due()
         data = super().recv(*args)
-        self._bytes_since_yield += len(data)
+        self._bytes_since_yield += len(data) or YIELD_AFTER_BYTES
         return data
 
     def recv_into(self, *args):
@@ -52,7 +55,7 @@
         """
         self._yield_if_due()
         size = super().recv_into(*args)
-        self._bytes_since_yield += size
+        self._bytes_since_yield += size or YIELD_AFTER_BYTES
         return size
 
     def _yield_if_due(self):
