Reject responses with an invalid status or name of a header field

Cause: the library accepts each status of three digits, so 600 reached callers and 000 counted as an interim response. Names with blanks or control bytes are rejected by its parser in the version in use; but after the head of a response to HEAD, an interim one included, it drops each error, so that such bytes were no error there.

Change: all parsers of responses (endpoints, store, other instances) derive from StrictResponse, which rejects a status outside 100 to 599 and a name that is not a token, and keeps the errors after a response to HEAD.

--- a/quetzalwall/connection/response_checks.py
+++ b/quetzalwall/connection/response_checks.py
@@ -2,19 +2,46 @@
 
 import fcntl
 import math
+import re
 import socket
 import struct
 import termios
 import time
 
 import gevent
+from geventhttpclient.response import HTTPParseError, HTTPResponse
 
-__all__ = ["is_closed_in_order"]
+__all__ = ["StrictResponse", "is_closed_in_order"]
 
+STATUSES = range(100, 600)
+FIELD_NAME_PATTERN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]*")  # RFC 9110, token
 CLOSE_WAIT = 8  # state in tcp_info: the peer has sent FIN, and neither side a reset
 ACKNOWLEDGEMENT_POLL_S = 0.005
 
 
+class StrictResponse(HTTPResponse):
+    """Parser that rejects heads which the library accepts.
+
+    The library accepts each status of three digits. It rejects blanks and control bytes
+    in the names of fields; the check here doesn't depend on its leniency settings.
+    """
+
+    def _on_headers_complete(self):
+        status = self.get_code()
+        if status not in STATUSES:
+            raise HTTPParseError(f"status out of range: {status}")
+        result = super()._on_headers_complete()
+        # Else the library ignores each error in bytes that follow the head of a
+        # response to HEAD, also if that was an interim one.
+        self._message_ended_in_skip_body = False
+        return result
+
+    def _on_header_field(self, string):
+        if not FIELD_NAME_PATTERN.fullmatch(string):
+            raise HTTPParseError(f"not the name of a field: {string[:40]!r}")
+        super()._on_header_field(string)
+
+
 def is_closed_in_order(sock, is_sent=None, timeout_s=None):
     """Return whether a connection ended by FIN, after the peer got the whole request.
 
--- a/quetzalwall/connection/response_parser.py
+++ b/quetzalwall/connection/response_parser.py
@@ -3,8 +3,9 @@
 from typing import NamedTuple
 
 from geventhttpclient.header import Headers
-from geventhttpclient.response import HTTPParseError, HTTPResponse
+from geventhttpclient.response import HTTPParseError
 
+from quetzalwall.connection.response_checks import StrictResponse
 from quetzalwall.connection.yielding_socket import MAX_HEAD_BYTES
 
 __all__ = ["ResponseParser", "ParsedResponse"]
@@ -35,7 +36,7 @@
     reusable: bool
 
 
-class ResponseParser(HTTPResponse):
+class ResponseParser(StrictResponse):
     """Parser that collects complete responses.
 
     An endpoint may send a second response, or a late one to an earlier request. All are
--- a/quetzalwall/connection/single_attempt.py
+++ b/quetzalwall/connection/single_attempt.py
@@ -18,7 +18,7 @@
 )
 
 from quetzalwall.connection.nodelay import is_readable, set_nodelay
-from quetzalwall.connection.response_checks import is_closed_in_order
+from quetzalwall.connection.response_checks import StrictResponse, is_closed_in_order
 from quetzalwall.connection.yielding_socket import MAX_HEAD_BYTES, YieldingSocket
 from quetzalwall.exceptions import NotRun, OutcomeUnknown
 
@@ -225,7 +225,7 @@
         return res
 
 
-class CheckedResponse(HTTPSocketPoolResponse):
+class CheckedResponse(StrictResponse, HTTPSocketPoolResponse):
     """Response to one request, separated from any other on the connection.
 
     The connection returns to the pool only if the peer echoed the request identifier,
--- a/quetzalwall/process/tests/test_invalid_responses.py
+++ b/quetzalwall/process/tests/test_invalid_responses.py
@@ -92,3 +92,22 @@
     with running_site(endpoints=1) as site:
         received = ScriptedEndpoint(site).relay(raw, method="POST", target="/book/1")
         assert parse_complete(received)[0] == 502
+
+
+# Callers got the status 600 or, for 000, 504 after the deadline; such bytes are not a
+# response, so an idempotent request goes to another endpoint, and any other gets 502.
+@params(
+    ("000 No", ""), ("600 No", ""), ("200 OK", "A b: c\r\n"), ("200 OK", "A : c\r\n")
+)
+def test_bytes_that_are_not_a_response_are_not_passed_on(status, field):
+    head = f"HTTP/1.1 {status}\r\n{REQUEST_ID}: 0123456789abcdef\r\n{STAMP}: s\r\n"
+    raw = f"{head}{field}Content-Length: 2\r\n\r\nok".encode()
+    with running_site(endpoints=1) as site:
+        endpoint = ScriptedEndpoint(site)
+        received = endpoint.relay(raw, method="POST", target="/book/1")
+        assert parse_complete(received)[0] == 502
+    with running_site(endpoints=2) as site:
+        endpoint = ScriptedEndpoint(site)
+        for number in range(20):
+            received = endpoint.relay(raw, target=f"/look/{number}")
+            assert parse_complete(received)[0] == 200
