Use an endpoint's entry only if all its fields are present

Cause: decoding read neither `version` nor `seq` and took a missing `coldLeft` for zero, so an incomplete entry of another writer moved an endpoint to another service, and it ran that service's requests.

Change: all fields but `born` are required with their types. The rows of the choice simulation lacked two of them and are completed, which weakens nothing: they stand for entries of real endpoints.

--- a/benchmarks/choice_simulation.py
+++ b/benchmarks/choice_simulation.py
@@ -363,8 +363,10 @@
         "service": SERVICE,
         "address": f"10.0.0.{number + 1}:80",
         "zone": f"domain-{number % 3}",
+        "version": "v1",
         "slots": pattern.slots,
         "state": "ready",
         "coldLeft": "0ms",
+        "seq": 1,
     }
     return json.dumps(body).encode()
--- a/quetzalwall/platform/rows.py
+++ b/quetzalwall/platform/rows.py
@@ -305,19 +305,18 @@
     ipaddress.IPv4Address(host)
     if not PORT_PATTERN.fullmatch(port) or not 1 <= int(port) <= MAX_PORT:
         raise RowError(f"invalid port in {address[:40]!r}", step="decode row")
-    slots = record["slots"]
-    if isinstance(slots, bool) or not isinstance(slots, int):
-        raise RowError(f"slots not an integer: {str(slots)[:40]}", step="decode row")
+    slots = _require_integer(record, "slots")
     if not 1 <= slots <= MAX_SLOTS:
         raise RowError("slots out of range", step="decode row")
-    cold_s = max(0.0, _duration_or_default(record.get("coldLeft"), 0.0))
+    cold_s = max(0.0, parse_duration_s(record["coldLeft"]))
     if cold_s > MAX_COLD_S:
         raise RowError(f"coldLeft {cold_s:.4g} s is too long", step="decode row")
-    incarnation = record.get("born", 0)
-    if isinstance(incarnation, bool) or not isinstance(incarnation, int):
-        raise RowError(
-            f"born not an integer: {str(incarnation)[:40]}", step="decode row"
-        )
+    incarnation = _require_integer(record, "born") if "born" in record else 0
+    # Not used, but an entry without them is not one of an endpoint.
+    _require_integer(record, "seq")
+    version = record["version"]
+    if not isinstance(version, str):
+        raise RowError(f"version not a text: {str(version)[:40]}", step="decode row")
     return EndpointEntry(
         name=name,
         service=_require_text(record["service"]),
@@ -331,6 +330,13 @@
     )
 
 
+def _require_integer(record, field):
+    value = record[field]
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise RowError(f"{field} not an integer: {str(value)[:40]}", step="decode row")
+    return value
+
+
 def _require_text(value):
     if not isinstance(value, str) or not value:
         raise RowError(f"not a non-empty string: {value!r}", step="decode row")
--- a/quetzalwall/platform/tests/test_rows.py
+++ b/quetzalwall/platform/tests/test_rows.py
@@ -87,7 +87,32 @@
     assert (entry.name, entry.host, entry.port) == ("i-1", "127.0.0.1", 80)
 
 
+# An entry of another writer, with fields missing, made a wrong service run requests.
 @params(
+    "service", "address", "zone", "version", "slots", "state", "coldLeft", "seq", None
+)
+def test_endpoint_entry_counts_only_with_all_fields(missing):
+    body = entry_body(ADDRESS)
+    del body["born"]
+    if missing is None:
+        entry = decode_endpoint("i-1", json.dumps(body).encode())
+        assert entry.incarnation == 0
+        return
+    for change in ({}, {missing: None}, {missing: []}, {missing: {"a": 1}}):
+        raw = json.dumps(
+            {name: value for name, value in body.items() if name != missing} | change
+        )
+        message = error_message(decode_endpoint, "i-1", raw.encode())
+        assert "/i-1" in message and (change or missing in message)
+
+
+@params(
+    {"seq": "1"},
+    {"seq": True},
+    {"seq": 1.5},
+    {"version": 1},
+    {"coldLeft": 0},
+    {"coldLeft": ""},
     {"state": "asleep"},
     {"slots": "3"},
     {"slots": True},
