Let an entry of an unnamed service take no address, and free addresses again

Cause: the table marked all endpoints at the address of a new entry as being at a wrong address, whatever its service, and nothing removed the mark.

Change: an entry whose service the configuration does not name is not used; it is kept until a configuration names the service, and entries that came before the first configuration are checked when it arrives. Which endpoint is superseded is determined from the entries at the address with each change, so a removal, a move, a malformed entry or a response 421 of the other one frees the address (endpoint_addresses.py).

--- a/quetzalwall/process/cluster/cluster_state.py
+++ b/quetzalwall/process/cluster/cluster_state.py
@@ -68,6 +68,8 @@
         # Versions of the store after which all removals are known.
         self._removals_after = dict.fromkeys(tables, 0)
         self._versions = {}
+        # Keys of the endpoints' rows whose service the configuration does not name.
+        self._unnamed = set()
         self._applied = set()
         self._applying = set()
 
@@ -229,7 +231,9 @@
         except RowError as exc:
             log_event(LOG, "refused", "error", row=change.version, reason=exc.message)
             return
-        self._activate(cfg, change.version)
+        is_first = self._cfg is None
+        if self._activate(cfg, change.version):
+            self._apply_services(cfg.services, is_first)
 
     def _activate(self, cfg, row):
         """Activate a configuration if it is newer, and return whether it was."""
@@ -280,25 +284,59 @@
             if number % ROWS_PER_SLICE == 0:
                 gevent.sleep(YIELD_SLEEP_S)
             if change.value is None:
+                self._unnamed.discard(change.key)
                 self.endpoints.remove(change.key, change.key in expired, grace_s)
-                continue
-            try:
-                entry = decode_endpoint(change.key, change.value)
-            except RowError as exc:
-                log_event(
-                    LOG,
-                    "bad-endpoint",
-                    "warning",
-                    endpoint=change.key,
-                    row=change.version,
-                    reason=exc.message,
-                )
-                self.endpoints.invalidate(change.key)
-                continue
-            self.endpoints.put(entry, log=not first_time)
+            else:
+                self._apply_entry(change, log=not first_time)
         if first_time:
             log_event(LOG, "registry", endpoints=len(self.endpoints))
 
+    def _apply_entry(self, change, log=True):
+        was_unnamed = change.key in self._unnamed
+        self._unnamed.discard(change.key)
+        try:
+            entry = decode_endpoint(change.key, change.value)
+        except RowError as exc:
+            _log_bad_endpoint(change, exc.message)
+            self.endpoints.invalidate(change.key)
+            return
+        if self._cfg is None or entry.service in self._cfg.services:
+            self.endpoints.put(entry, log=log)
+            return
+        # Kept until a configuration names the service.
+        self._unnamed.add(change.key)
+        if not was_unnamed:
+            _log_bad_endpoint(change, f"/service: not named: {entry.service[:40]!r}")
+        state = self.endpoints.get(change.key)
+        if state is not None and state.entry.service != entry.service:
+            self.endpoints.invalidate(change.key)
+
+    def _apply_services(self, services, is_first):
+        """Use or leave out endpoints by the services that are now named."""
+        self.endpoints.addresses.set_services(services)
+        if is_first:
+            # Those that a later configuration no longer names keep their state: it may
+            # be replaced by one that names them again.
+            unnamed = [s for s in self.endpoints if s.entry.service not in services]
+            for state in unnamed:
+                self.endpoints.remove(state.name, False)
+            self._unnamed.update(state.name for state in unnamed)
+        rows = self._rows[ENDPOINTS_TABLE]
+        for key in sorted(self._unnamed):
+            if key in rows:
+                self._apply_entry(rows[key])
+
+
+def _log_bad_endpoint(change, reason):
+    log_event(
+        LOG,
+        "bad-endpoint",
+        "warning",
+        endpoint=change.key,
+        row=change.version,
+        reason=reason,
+    )
+
 
 def read_exported(body, peer):
     """Return the rows that another instance exported.
--- a/quetzalwall/process/cluster/endpoint_state.py
+++ b/quetzalwall/process/cluster/endpoint_state.py
@@ -44,7 +44,9 @@
         Monotonic seconds until which its expired entry may return; None if it has not
         expired.
     wrong_address : bool
-        Whether its address belongs to another endpoint.
+        Whether it responded that another endpoint is at its address.
+    superseded : bool
+        Whether another endpoint was registered later at its address.
     cold_until : float
         Monotonic seconds until which it is cold.
     recent_objects : OrderedDict
@@ -64,6 +66,7 @@
         self.registered = True
         self.grace_until = None
         self.wrong_address = False
+        self.superseded = False
         self.cold_until = -math.inf
         self.record_cold(entry.cold_s, now)
         self.recent_objects = OrderedDict()
@@ -91,7 +94,8 @@
         -------
         bool
         """
-        return self.registered and not self.entry.draining and not self.wrong_address
+        at_address = not self.wrong_address and not self.superseded
+        return self.registered and not self.entry.draining and at_address
 
     def avoided(self, now):
         """Return whether it failed or shed requests lately and should get none for now.
--- a/quetzalwall/process/cluster/endpoint_table.py
+++ b/quetzalwall/process/cluster/endpoint_table.py
@@ -2,6 +2,7 @@
 
 from quetzalwall.connection.connection_limiter import ConnectionLimiter
 from quetzalwall.logs import get_logger, log_event
+from quetzalwall.process.cluster.endpoint_addresses import EndpointAddresses
 from quetzalwall.process.cluster.endpoint_code import endpoint_code
 from quetzalwall.process.cluster.endpoint_state import create_endpoint_state
 from quetzalwall.process.cluster.object_ranks import ObjectRanks
@@ -26,6 +27,8 @@
 
     Attributes
     ----------
+    addresses : EndpointAddresses
+        The endpoints by address.
     evacuated : set of str
         Failure domains whose endpoints get no requests.
     connection_limiter : ConnectionLimiter
@@ -45,7 +48,9 @@
         self._monotonic = monotonic
         self._states = {}
         self._by_service = {}
-        self._by_address = {}
+        self.addresses = EndpointAddresses(
+            lambda state: self._invalidate_routable(state.entry.service)
+        )
         self._routable = {}
         self._ranks = ObjectRanks()
         self._by_code = {}
@@ -111,8 +116,7 @@
         if found is None:
             states = self._by_service.get(service, {}).values()
             found = self._routable[service] = [s for s in states if self.is_routable(s)]
-        # A response may mark an address as wrong, which does not clear `_routable`.
-        return [state for state in found if not state.wrong_address]
+        return found.copy()
 
     def is_routable(self, state):
         """Return whether an endpoint may get new requests: usable and not evacuated.
@@ -189,6 +193,8 @@
         old, state.entry = state.entry, entry
         returned, state.registered = not state.registered, True
         state.grace_until = None
+        if returned or old.service != entry.service:
+            self.addresses.refresh(state)
         state.record_cold(entry.cold_s, self._monotonic())
         if old.service != entry.service:
             _discard(self._by_service, old.service, entry.name)
@@ -235,6 +241,7 @@
         if state is not None and state.registered:
             state.registered, state.grace_until = False, None
             self._invalidate_routable(state.entry.service)
+            self.addresses.refresh(state)
             _log_change("spoiled", state.entry)
 
     def remaining_grace_s(self, name):
@@ -314,12 +321,7 @@
             old.registered = False
             old.client.close()
             self._unindex(old)
-        at_address = self._by_address.setdefault((entry.host, entry.port), {})
-        for other in at_address.values():
-            if other.entry.incarnation <= entry.incarnation:
-                other.wrong_address = True
-                self._invalidate_routable(other.entry.service)
-        at_address[entry.name] = state
+        self.addresses.add(state)
         # A restarted endpoint keeps its position in the order of `_states`.
         self._states[entry.name] = state
         self._by_code[endpoint_code(entry.name)] = state
@@ -341,7 +343,7 @@
     def _unindex(self, state):
         """Remove a state from the indexes by address and by service."""
         entry = state.entry
-        _discard(self._by_address, (entry.host, entry.port), entry.name)
+        self.addresses.remove(state)
         _discard(self._by_service, entry.service, entry.name)
         self._invalidate_routable(entry.service)
 
--- a/quetzalwall/request/request_server.py
+++ b/quetzalwall/request/request_server.py
@@ -290,7 +290,7 @@
             state.record_slowness(meta.load[3], now, own=True)
         record_limit_announcement(state, meta, now)
         if meta.misdirected:
-            state.wrong_address = True
+            self._cluster_state.endpoints.addresses.record_wrong_address(state)
             raise NotRun("another endpoint has the address", "match", state.name)
         if meta.not_run:
             state.record_shed(now)
