--- a/quetzalwall/process/tests/test_truncated_responses.py
+++ b/quetzalwall/process/tests/test_truncated_responses.py
@@ -6,10 +6,16 @@
 import gevent.socket
 from nose2.tools import params
 
-from quetzalwall.tests.platform_fixtures import HOST, running_site
+from quetzalwall.tests.platform_fixtures import (
+    HOST,
+    config_body,
+    running_site,
+    wait_for,
+)
 
 LINGER = struct.pack("ii", 1, 0)  # makes close() reset the connection
 REQUEST_ID = "X-Quetzalwall-Request-Id: 0123456789abcdef\r\n"
+UPLOAD_BYTES = 20_000_000  # more than the socket buffers of both sides hold
 STAMP = "X-Quetzalwall-Server-Stamp: s\r\n"
 OK = f"HTTP/1.1 200 OK\r\n{STAMP}{REQUEST_ID}".encode()
 HINTS = b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
@@ -130,3 +136,38 @@
         endpoint.resets = True
         for cut in range(len(head), len(head + rest) + 1):
             assert parse_complete(endpoint.relay((head + rest)[:cut]))[0] == 502
+
+
+# The error of the reset went to the task that sent the upload, and callers got the part
+# as a complete response.
+@params(
+    *[
+        (method, extra)
+        for method in ("POST", "PUT")
+        for extra in ("", "Connection: close")
+    ]
+)
+def test_a_response_without_a_length_is_incomplete_after_a_reset_of_the_upload(
+    method, extra
+):
+    head = OK + extra.encode() + b"\r\n" * (1 + bool(extra))
+
+    def serve(sock, address):
+        sock.recv(1000)
+        sock.sendall(head + b"part of it")
+        gevent.sleep(0.05)
+        sock.setsockopt(gevent.socket.SOL_SOCKET, gevent.socket.SO_LINGER, LINGER)
+        sock.close()
+
+    with running_site(endpoints=1) as site:
+        site.write_config(config_body(2) | {"limits": {"maxBodyBytes": UPLOAD_BYTES}})
+        cluster_state = site.fronts[0].cluster_state
+        wait_for(lambda: cluster_state.configuration().version == 2)
+        site.endpoints[0].server.set_handle(serve)
+        headers = {"X_Quetzalwall_Request_Id": "0123456789abcdef"}
+        for target in ("/book/1", "/look/1"):
+            site.fronts[0].endpoints.get("ep-0").record_success()
+            status, _, body = site.get(
+                target, method=method, body=b"x" * UPLOAD_BYTES, **headers
+            )
+            assert (status, b"part" in body) == (502, False)
