Take an endpoint out of use when a response states that it leaves

An endpoint that drains may say so in its responses before its entry in the store does, or while the store shows an older entry. Until now only the entry counted.

Server-Leaving, with or without the platform's prefix, is read from every response at the endpoint's address, also from rejections, failures and truncated ones, but not from those of another endpoint (421) or without the endpoint's stamp. It applies to one start at one address, named by a 64-bit code of name, address and start: it survives removal and return of the entry, and a late report can't take out a later start. Reports carry code and age: each report for 1 s, then those that name their sender, so that instances that start later learn it. A report of an older build decodes without it. Neither header reaches callers.

Entries without 'born' forget the statement when they are removed, since their next start can't be told from this one.

--- a/quetzalwall/connection/dialect.py
+++ b/quetzalwall/connection/dialect.py
@@ -94,6 +94,8 @@
         together; None if there is none.
     malformed_limit : str, default=""
         Value of an advertised limit that cannot be parsed.
+    draining : bool, default=False
+        Whether the endpoint states that it is draining.
     """
 
     request_id: str | None
@@ -107,6 +109,7 @@
     implies_not_run: bool = False
     limit_per_s: float | None = None
     malformed_limit: str = ""
+    draining: bool = False
 
 
 class Dialect(NamedTuple):
--- a/quetzalwall/connection/endpoint_client.py
+++ b/quetzalwall/connection/endpoint_client.py
@@ -239,7 +239,14 @@
         self._send(raw)
         self._client.count_bytes("request", len(raw))
         parser = ResponseParser(self._req.method)
-        response, metadata = self._receive(parser)
+        try:
+            response, metadata = self._receive(parser)
+        except BaseException:
+            # The head may state something about the endpoint, whatever became of the
+            # rest of the response.
+            if (head := parser.unfinished_head()) is not None:
+                self._client.parse_response(head)
+            raise
         echoed = request_id != "" and metadata.request_id == request_id
         if response.reusable and echoed and self._is_reusable(parser):
             self._client.release(self._conn, metadata.keep_alive_s)
--- a/quetzalwall/connection/response_parser.py
+++ b/quetzalwall/connection/response_parser.py
@@ -105,6 +105,19 @@
         """
         return self.message_complete and not self.parser_failed()
 
+    def unfinished_head(self):
+        """Return the response whose head has arrived completely, but not its body.
+
+        Returns
+        -------
+        ParsedResponse or None
+            Without a body; None if there is no such response.
+        """
+        status = self.get_code() if self.headers_complete else 0
+        if self.message_complete or status < MIN_FINAL_STATUS:
+            return None
+        return ParsedResponse(status, self._final_headers, b"", False)
+
     def _on_body(self, buf):
         self._body_bytes += len(buf)
         super()._on_body(buf)
--- a/quetzalwall/platform/headers.py
+++ b/quetzalwall/platform/headers.py
@@ -34,6 +34,8 @@
 COLD_HEADER = "X-Quetzalwall-Cold-Ms"
 # Headers that advertise a limit, in lower case.
 LIMIT_HEADERS = frozenset(("server-limit", "x-quetzalwall-server-limit"))
+# Headers that state that the endpoint is draining, in lower case.
+LEAVING_HEADERS = frozenset(("server-leaving", "x-quetzalwall-server-leaving"))
 LIMIT_PATTERN = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?")
 MAX_LOGGED_CHARACTERS = 60  # characters of a malformed limit that are logged
 OBJECT_COOKIE = "X-Quetzalwall-Affinity-Key"
@@ -126,6 +128,7 @@
     excluded = (
         HOP_BY_HOP_HEADERS
         | LIMIT_HEADERS
+        | LEAVING_HEADERS
         | {LOAD_HEADER.lower(), REQUEST_ID_HEADER.lower(), "date"}
     )
     forwarded = [(name, value) for name, value in items if name.lower() not in excluded]
@@ -149,6 +152,10 @@
         implies_not_run=status in NOT_RUN_STATUSES and not not_run,
         limit_per_s=limit_per_s,
         malformed_limit=malformed_limit,
+        draining=any(
+            name.lower() in LEAVING_HEADERS and value.strip() == "1"
+            for name, value in items
+        ),
     )
 
 
--- /dev/null
+++ b/quetzalwall/process/cluster/endpoint_log.py
@@ -0,0 +1,53 @@
+"""Log lines about changes of registered endpoints."""
+
+from quetzalwall.logs import get_logger, log_event
+
+__all__ = ["log_endpoint_change", "log_leaving_stated"]
+
+LOG = get_logger("endpoints")
+
+
+def log_endpoint_change(event, entry):
+    """Log a change of an endpoint's registration.
+
+    Parameters
+    ----------
+    event : str
+        Name of the event.
+    entry : EndpointEntry
+        Its entry.
+    """
+    log_event(
+        LOG,
+        event,
+        endpoint=entry.name,
+        service=entry.service,
+        place=f"{entry.host}:{entry.port}",
+        domain=entry.domain,
+        cold_s=entry.cold_s,
+        born=entry.incarnation,
+    )
+
+
+def log_leaving_stated(entry, source, age_s):
+    """Log that an endpoint's own statement takes it out of use.
+
+    Parameters
+    ----------
+    entry : EndpointEntry
+        Its entry.
+    source : str
+        ``"answer"`` for a response to this instance, ``"known"`` if it was known
+        before the entry, or the name of the instance that reported it.
+    age_s : float
+        Seconds since the statement.
+    """
+    log_event(
+        LOG,
+        "leaving-stated",
+        endpoint=entry.name,
+        service=entry.service,
+        born=entry.incarnation,
+        source=source,
+        age_s=age_s,
+    )
--- a/quetzalwall/process/cluster/endpoint_state.py
+++ b/quetzalwall/process/cluster/endpoint_state.py
@@ -2,11 +2,8 @@
 
 import math
 from collections import OrderedDict
-from functools import partial
 
-from quetzalwall.connection.endpoint_client import create_endpoint_client
-
-__all__ = ["EndpointState", "create_endpoint_state"]
+__all__ = ["EndpointState"]
 
 SLOWNESS_DECAY_S = 0.6  # about as long as a noisy neighbour stays
 MIN_AVOID_S = 0.5
@@ -53,6 +50,12 @@
         The limit that it advertises, or advertised until a while ago.
     malformed_limit : str
         What its last response contained in place of a valid limit; empty otherwise.
+    draining_since : float or None
+        Monotonic seconds at which this start of it stated that it is draining.
+    draining_known_at : float
+        Monotonic seconds at which this instance learned that.
+    on_draining : callable or None
+        Called with the state when a response states that it is draining.
     """
 
     def __init__(self, entry, region, client, now):
@@ -69,6 +72,9 @@
         self.recent_objects = OrderedDict()
         self.advertised_limit = None
         self.malformed_limit = ""
+        self.draining_since = None
+        self.draining_known_at = -math.inf
+        self.on_draining = None
         self._slowness = 1.0
         self._slowness_at = -math.inf
         self._slowness_own = False
@@ -87,11 +93,27 @@
     def usable(self):
         """Return whether it is registered, not draining and at its own address.
 
+        Its own statement that it is draining counts more than its entry.
+
         Returns
         -------
         bool
         """
-        return self.registered and not self.entry.draining and not self.wrong_address
+        draining = self.entry.draining or self.draining_since is not None
+        return self.registered and not draining and not self.wrong_address
+
+    def observe_response(self, metadata):
+        """Record what any response from its address states, also one to be discarded.
+
+        Parameters
+        ----------
+        metadata : ResponseMetadata
+            Metadata of the response. One that is not authentic, or from another
+            endpoint at the address, is ignored.
+        """
+        own = metadata.authentic and not metadata.misdirected
+        if metadata.draining and own and self.on_draining is not None:
+            self.on_draining(self)
 
     def avoided(self, now):
         """Return whether it failed or shed requests lately and should get none for now.
@@ -333,36 +355,3 @@
             Monotonic seconds.
         """
         self._avoid_until = max(self._avoid_until, now + SHED_AVOID_S)
-
-
-def create_endpoint_state(
-    entry, region, parse_response, monotonic, connection_limiter, traffic=None
-):
-    """Return the state of a newly registered endpoint.
-
-    Parameters
-    ----------
-    entry : EndpointEntry
-        Its entry in the registry.
-    region : str
-        Region of its failure domain.
-    parse_response : callable
-        Takes status and headers of a response; returns its `ResponseMetadata`.
-    monotonic : callable
-        Clock in seconds.
-    connection_limiter : ConnectionLimiter
-        Limits the connections to all endpoints together.
-    traffic : TrafficMeter, default=None
-        Counts the bytes exchanged with it; None counts none.
-
-    Returns
-    -------
-    EndpointState
-    """
-    client = create_endpoint_client(
-        entry.name, entry.host, entry.port, parse_response, monotonic
-    )
-    client.limiter = connection_limiter
-    if traffic is not None:
-        client.count_bytes = partial(traffic.record, region=region, domain=entry.domain)
-    return EndpointState(entry, region, client, monotonic())
--- a/quetzalwall/process/cluster/endpoint_stats.py
+++ b/quetzalwall/process/cluster/endpoint_stats.py
@@ -1,11 +1,18 @@
 """Statistics of endpoints that instances exchange: load, slowness, cache, limits."""
 
+from operator import itemgetter
+
 from quetzalwall.process.cluster.advertised_limit import ENDED, AdvertisedLimit
 from quetzalwall.process.cluster.advertised_limit_log import log_limit_change
+from quetzalwall.process.cluster.draining_signals import incarnation_code
 
 __all__ = ["EndpointStats"]
 
 MAX_LIMITS_PER_REPORT = 100  # the others follow in the next reports
+MAX_DRAINING_PER_REPORT = 100  # the latest; more in each report could exceed a datagram
+# For which each report repeats a new statement of an endpoint, as reports may be lost;
+# afterwards only those that name their sender contain it.
+DRAINING_REPEAT_S = 1.0
 
 
 class EndpointStats:
@@ -47,6 +54,9 @@
             state = by_code(code)
             if state is not None:
                 _apply_limit(state, peer.info.name, figures, now)
+        for code, age_ms in report.draining:
+            at = now - max(0, age_ms) / 1000
+            self._endpoints.draining_signals.record(code, at, peer.info.name)
 
     def set_peer_in_flight(self, peer, in_flight):
         """Replace the numbers of a peer's requests in flight.
@@ -69,7 +79,7 @@
                 state.peer_in_flight += count
                 peer.in_flight[code] = count
 
-    def collect(self, since, now):
+    def collect(self, since, now, complete):
         """Return the own figures for the next report.
 
         Parameters
@@ -78,13 +88,16 @@
             Monotonic seconds of the last report to the same peers.
         now : float
             Monotonic seconds.
+        complete : bool
+            Whether to include all endpoints that have stated that they are draining,
+            not only those of which this instance has learned lately.
 
         Returns
         -------
-        (list, list, list)
-            Requests in flight, slowness and advertised limits, as in `PeerReport`.
+        dict of str to list
+            By the names of the fields of `PeerReport`.
         """
-        in_flight, slowness, limits = [], [], []
+        in_flight, slowness, limits, draining = [], [], [], []
         for code, state in self._endpoints.codes():
             if state.own_in_flight:
                 in_flight.append((code, state.own_in_flight))
@@ -96,7 +109,19 @@
                     state.advertised_limit = None
                 else:
                     limits.append((code, *state.advertised_limit.own_report(now)))
-        return in_flight, slowness, self._select_limits(limits)
+            known_s = now - state.draining_known_at
+            if state.draining_since is not None and (
+                complete or known_s < DRAINING_REPEAT_S
+            ):
+                age_ms = int((now - state.draining_since) * 1000)
+                draining.append((incarnation_code(state.entry), age_ms))
+        draining.sort(key=itemgetter(1))
+        return {
+            "in_flight": in_flight,
+            "slowness": slowness,
+            "advertised_limits": self._select_limits(limits),
+            "draining": draining[:MAX_DRAINING_PER_REPORT],
+        }
 
     def _select_limits(self, limits):
         """Return the limits for one report, in turn if they are too many for it."""
--- a/quetzalwall/process/cluster/endpoint_table.py
+++ b/quetzalwall/process/cluster/endpoint_table.py
@@ -2,8 +2,10 @@
 
 from quetzalwall.connection.connection_limiter import ConnectionLimiter
 from quetzalwall.logs import get_logger, log_event
+from quetzalwall.process.cluster.draining_signals import DrainingSignals
 from quetzalwall.process.cluster.endpoint_code import endpoint_code
-from quetzalwall.process.cluster.endpoint_state import create_endpoint_state
+from quetzalwall.process.cluster.endpoint_factory import create_endpoint_state
+from quetzalwall.process.cluster.endpoint_log import log_endpoint_change
 from quetzalwall.process.cluster.object_ranks import ObjectRanks
 
 __all__ = ["EndpointTable", "create_endpoint_table"]
@@ -34,6 +36,8 @@
         Counts the bytes exchanged with endpoints; None counts none.
     removal_count : int
         Increases with each endpoint that is removed.
+    draining_signals : DrainingSignals
+        What endpoints have stated in responses.
     """
 
     def __init__(self, domains, parse_response, monotonic):
@@ -50,6 +54,7 @@
         self._ranks = ObjectRanks()
         self._by_code = {}
         self._expired = set()
+        self.draining_signals = DrainingSignals(self, monotonic)
         self.removal_count = 0
 
     def __len__(self):
@@ -184,7 +189,9 @@
         if state is None or moved or state.entry.incarnation != entry.incarnation:
             self._register(entry, state)
             if log or state is not None:
-                _log_change("registered" if state is None else "restarted", entry)
+                log_endpoint_change(
+                    "registered" if state is None else "restarted", entry
+                )
             return
         old, state.entry = state.entry, entry
         returned, state.registered = not state.registered, True
@@ -192,12 +199,12 @@
         state.record_cold(entry.cold_s, self._monotonic())
         if old.service != entry.service:
             _discard(self._by_service, old.service, entry.name)
-            self._invalidate_routable(old.service)
+            self.invalidate_routable(old.service)
             self._index(state)
         if returned or old.draining != entry.draining or old.domain != entry.domain:
-            self._invalidate_routable(entry.service)
+            self.invalidate_routable(entry.service)
         if old.draining != entry.draining or old.service != entry.service:
-            _log_change("leaving" if entry.draining else "changed", entry)
+            log_endpoint_change("leaving" if entry.draining else "changed", entry)
 
     def remove(self, name, after_outage, grace_s=None):
         """Remove an endpoint that is no longer registered, or begin its grace period.
@@ -219,7 +226,7 @@
                 grace_s = EXPIRY_GRACE_S
             state.grace_until = self._monotonic() + grace_s
             self._expired.add(name)
-            _log_change("lapsed", state.entry)
+            log_endpoint_change("lapsed", state.entry)
             return
         self._forget(state)
 
@@ -234,8 +241,8 @@
         state = self._states.get(name)
         if state is not None and state.registered:
             state.registered, state.grace_until = False, None
-            self._invalidate_routable(state.entry.service)
-            _log_change("spoiled", state.entry)
+            self.invalidate_routable(state.entry.service)
+            log_endpoint_change("spoiled", state.entry)
 
     def remaining_grace_s(self, name):
         """Return the remaining grace period in which an expired entry may return.
@@ -318,34 +325,43 @@
         for other in at_address.values():
             if other.entry.incarnation <= entry.incarnation:
                 other.wrong_address = True
-                self._invalidate_routable(other.entry.service)
+                self.invalidate_routable(other.entry.service)
         at_address[entry.name] = state
         # A restarted endpoint keeps its position in the order of `_states`.
         self._states[entry.name] = state
         self._by_code[endpoint_code(entry.name)] = state
         self._index(state)
+        self.draining_signals.attach(state)
 
     def _forget(self, state):
         state.registered = False
         state.client.close()
+        self.draining_signals.end_removed(state.entry)
         self.removal_count += 1
         self._states.pop(state.name, None)
         self._by_code.pop(endpoint_code(state.name), None)
         self._unindex(state)
-        _log_change("gone", state.entry)
+        log_endpoint_change("gone", state.entry)
 
     def _index(self, state):
         self._by_service.setdefault(state.entry.service, {})[state.name] = state
-        self._invalidate_routable(state.entry.service)
+        self.invalidate_routable(state.entry.service)
 
     def _unindex(self, state):
         """Remove a state from the indexes by address and by service."""
         entry = state.entry
         _discard(self._by_address, (entry.host, entry.port), entry.name)
         _discard(self._by_service, entry.service, entry.name)
-        self._invalidate_routable(entry.service)
+        self.invalidate_routable(entry.service)
 
-    def _invalidate_routable(self, service):
+    def invalidate_routable(self, service):
+        """Discard what is derived from the states of a service's endpoints.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        """
         self._routable.pop(service, None)
         self._ranks.clear()
 
@@ -357,19 +373,6 @@
         del index[key]
 
 
-def _log_change(event, entry):
-    log_event(
-        LOG,
-        event,
-        endpoint=entry.name,
-        service=entry.service,
-        place=f"{entry.host}:{entry.port}",
-        domain=entry.domain,
-        cold_s=entry.cold_s,
-        born=entry.incarnation,
-    )
-
-
 def create_endpoint_table(domains, parse_response, monotonic):
     """Return an empty table of endpoints.
 
--- a/quetzalwall/process/cluster/fleet.py
+++ b/quetzalwall/process/cluster/fleet.py
@@ -266,10 +266,6 @@
                 group.cached.clear()
         return due
 
-    def _peers_of(self, group):
-        region, same = self.own_info.region, group.same_region
-        return [p for p in self._peers.values() if (p.info.region == region) == same]
-
     def peers(self):
         """Return the known other instances.
 
@@ -367,21 +363,18 @@
 
     def _build_report(self, group, now):
         self._sequence += 1
-        in_flight, slowness, advertised_limits = self._endpoint_stats.collect(
-            group.last_sent_at, now
-        )
+        named = group.names_sender(now)
+        figures = self._endpoint_stats.collect(group.last_sent_at, now, named)
         return PeerReport(
-            self.own_info if group.names_sender(now) else None,
+            self.own_info if named else None,
             self._process_id,
             self._sequence,
             self.leaving,
             self.reaches_store,
             self.table_versions,
-            in_flight,
-            slowness,
-            list(group.cached),
-            self.table_updates.confirmation_ages_ms(now),
-            advertised_limits,
+            cached=list(group.cached),
+            confirmation_ages_ms=self.table_updates.confirmation_ages_ms(now),
+            **figures,
         )
 
 
--- a/quetzalwall/process/cluster/peer_report.py
+++ b/quetzalwall/process/cluster/peer_report.py
@@ -69,6 +69,9 @@
     advertised_limits : list of (int, int, int, int, int)
         Code of an endpoint that advertises a limit, and the figures of
         `AdvertisedLimit.own_report`.
+    draining : list of (int, int)
+        Code of one start of an endpoint that has stated that it is draining, as of
+        `incarnation_code`, and the age of that statement in ms.
     """
 
     sender: PeerInfo | None
@@ -82,6 +85,7 @@
     cached: list[tuple[int, int]]
     confirmation_ages_ms: dict[str, int] = {}
     advertised_limits: list[tuple[int, int, int, int, int]] = []
+    draining: list[tuple[int, int]] = []
 
 
 _DECODER = msgspec.msgpack.Decoder(PeerReport)
--- a/standins/platform_endpoint.py
+++ b/standins/platform_endpoint.py
@@ -19,6 +19,7 @@
 - ``slow_s``: seconds added to each request
 - ``longer``: bytes added to each response body
 - ``endless``: bytes that are sent over and over in the head of a response
+- ``headers``: further header lines of its responses, whatever their status
 - ``limit``: the limit that its responses advertise, in requests a second
 """
 
@@ -136,21 +137,21 @@
         self.arrivals.append((request_id, headers))
         self.arrival_times.append(time.monotonic())
         if self.behaviour.get("early"):
-            _respond(sock, 503, b"", request_id, not_run=True)
+            self._respond(sock, 503, b"", request_id, not_run=True)
             reader.read(length)
             return True
         body = reader.read(length)
         if expected != self.behaviour.get("other", self.name):
-            _respond(sock, 421, b"", request_id)
+            self._respond(sock, 421, b"", request_id)
             return True
         if self.behaviour.get("shed") or self._outstanding >= self.slots + self.queue:
-            _respond(sock, 503, b"", request_id, not_run=True)
+            self._respond(sock, 503, b"", request_id, not_run=True)
             return True
         if reused and "again" in self.behaviour:
-            _respond(sock, 503, b"", self.behaviour["again"], not_run=True)
+            self._respond(sock, 503, b"", self.behaviour["again"], not_run=True)
         if wait_s := self.behaviour.get("shed_after_s"):
             gevent.sleep(wait_s)
-            _respond(sock, 503, b"", request_id, not_run=True)
+            self._respond(sock, 503, b"", request_id, not_run=True)
             return True
         self._outstanding += 1
         try:
@@ -178,20 +179,24 @@
         if limit := self.behaviour.get("limit", ""):
             load += f"\r\nServer-Limit: {limit}"
         if self.behaviour.get("error"):
-            _respond(sock, 500, text, request_id, load)
+            self._respond(sock, 500, text, request_id, load)
             return True
         if self.behaviour.get("cut"):
-            _respond(sock, 200, text, request_id, load, missing_bytes=20)
+            self._respond(sock, 200, text, request_id, load, missing_bytes=20)
             return False
-        _respond(sock, 200, text, request_id, load)
+        self._respond(sock, 200, text, request_id, load)
         if self.behaviour.get("late"):
             gevent.spawn_later(
                 LATE_RESPONSE_DELAY_S, _respond_unless_closed, sock, text, request_id
             )
         if self.behaviour.get("extra"):
-            _respond(sock, 200, b"extra\n", request_id, load)
+            self._respond(sock, 200, b"extra\n", request_id, load)
         return True
 
+    def _respond(self, sock, *args, **fields):
+        headers = self.behaviour.get("headers", ())
+        _respond(sock, *args, **fields, headers=headers)
+
 
 def _send_endless_headers(sock, header_line):
     """Send header lines until the connection closes."""
@@ -216,7 +221,16 @@
         return
 
 
-def _respond(sock, status, body, request_id, load="", not_run=False, missing_bytes=0):
+def _respond(
+    sock,
+    status,
+    body,
+    request_id,
+    load="",
+    not_run=False,
+    missing_bytes=0,
+    headers=(),
+):
     lines = [
         f"HTTP/1.1 {status} Status",
         f"Content-Length: {len(body) + missing_bytes}",
@@ -229,6 +243,7 @@
         lines.append(f"{HEADER_PREFIX}Server-Stamp: stamp-of-{request_id}")
     if load:
         lines.append(f"{HEADER_PREFIX}Server-Load: {load}")
+    lines.extend(headers)
     sock.sendall("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
 
 
