Send an endpoint nothing for the time that its 503 asks for

A 503 with Retry-After from an endpoint that states that the request did not run counted as one shed request: the endpoint was avoided for 0.15 s and used all the same when no other was left.

This instance now sends it nothing until that time is over; requests that waited for a connection are checked again. If all endpoints ask for none, a request is rejected at once with the reason 'paused' and the time until the first of them accepts requests. Over 60 s is bounded, what is negative or no number is ignored, both with the log line odd-pause.

The other instances learn it by a report field with its age and prefer other endpoints for 0.5 s from the response; they aren't bound by it.

--- a/quetzalwall/connection/dialect.py
+++ b/quetzalwall/connection/dialect.py
@@ -96,6 +96,11 @@
         Value of an advertised limit that cannot be parsed.
     draining : bool, default=False
         Whether the endpoint states that it is draining.
+    pause_s : float or None, default=None
+        Seconds for which the endpoint asks this instance for no requests; None if it
+        does not.
+    odd_pause : str, default=""
+        Value of such a request that was bounded or cannot be parsed.
     """
 
     request_id: str | None
@@ -110,6 +115,8 @@
     limit_per_s: float | None = None
     malformed_limit: str = ""
     draining: bool = False
+    pause_s: float | None = None
+    odd_pause: str = ""
 
 
 class Dialect(NamedTuple):
--- a/quetzalwall/platform/headers.py
+++ b/quetzalwall/platform/headers.py
@@ -37,7 +37,11 @@
 # Headers that state that the endpoint is draining, in lower case.
 LEAVING_HEADERS = frozenset(("server-leaving", "x-quetzalwall-server-leaving"))
 LIMIT_PATTERN = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?")
-MAX_LOGGED_CHARACTERS = 60  # characters of a malformed limit that are logged
+RETRY_AFTER_HEADER = "retry-after"
+RETRY_AFTER_PATTERN = re.compile(r"(-?)([0-9]+(?:\.[0-9]*)?|\.[0-9]+)")
+MAX_PAUSE_S = 60.0  # a longer one would be a fault of the endpoint
+PAUSE_STATUS = 503
+MAX_LOGGED_CHARACTERS = 60  # characters of a malformed value that are logged
 OBJECT_COOKIE = "X-Quetzalwall-Affinity-Key"
 CREDENTIAL_HEADER = "X-Quetzalwall-Credential"
 ACCOUNT_HEADER = "X-Quetzalwall-Tenant"
@@ -136,6 +140,9 @@
     stamps = sum(name.lower() == STAMP_HEADER.lower() for name, _ in items)
     limit_values = [value for name, value in items if name.lower() in LIMIT_HEADERS]
     limit_per_s, malformed_limit = _parse_limit(limit_values)
+    pause_s, odd_pause = None, ""
+    if status == PAUSE_STATUS and not_run:
+        pause_s, odd_pause = _parse_pause(headers_by_name.get(RETRY_AFTER_HEADER))
     if REQUEST_ID_HEADER.lower() in headers_by_name:
         forwarded.append(
             (REQUEST_ID_HEADER, headers_by_name[REQUEST_ID_HEADER.lower()])
@@ -156,6 +163,8 @@
             name.lower() in LEAVING_HEADERS and value.strip() == "1"
             for name, value in items
         ),
+        pause_s=pause_s,
+        odd_pause=odd_pause,
     )
 
 
@@ -231,6 +240,18 @@
     return None, ", ".join(values)[:MAX_LOGGED_CHARACTERS] or "empty"
 
 
+def _parse_pause(text):
+    """Return the seconds, None if there are none, and the odd value, if any."""
+    if text is None:
+        return None, ""
+    odd = text[:MAX_LOGGED_CHARACTERS] or "empty"
+    match = RETRY_AFTER_PATTERN.fullmatch(text.strip())
+    if match is None or match[1]:
+        return None, odd
+    seconds = float(match[2])
+    return (seconds, "") if seconds <= MAX_PAUSE_S else (MAX_PAUSE_S, odd)
+
+
 def _seconds_from_ms(text):
     try:
         return None if text is None else max(0, int(text)) / 1000
--- a/quetzalwall/process/cluster/endpoint_factory.py
+++ b/quetzalwall/process/cluster/endpoint_factory.py
@@ -35,7 +35,7 @@
 
     def parse_and_observe(status, headers):
         metadata = parse_response(status, headers)
-        state.observe_response(metadata)
+        state.observe_response(metadata, monotonic())
         return metadata
 
     client = create_endpoint_client(
--- a/quetzalwall/process/cluster/endpoint_log.py
+++ b/quetzalwall/process/cluster/endpoint_log.py
@@ -2,7 +2,12 @@
 
 from quetzalwall.logs import get_logger, log_event
 
-__all__ = ["log_endpoint_change", "log_leaving_stated"]
+__all__ = [
+    "log_endpoint_change",
+    "log_leaving_stated",
+    "log_odd_pause",
+    "log_pause",
+]
 
 LOG = get_logger("endpoints")
 
@@ -51,3 +56,36 @@
         source=source,
         age_s=age_s,
     )
+
+
+def log_pause(entry, seconds):
+    """Log that an endpoint asks this instance for no requests.
+
+    Parameters
+    ----------
+    entry : EndpointEntry
+        Its entry.
+    seconds : float
+        For how long.
+    """
+    log_event(
+        LOG,
+        "paused",
+        "warning",
+        endpoint=entry.name,
+        service=entry.service,
+        for_s=seconds,
+    )
+
+
+def log_odd_pause(endpoint, value):
+    """Log a time without requests that was bounded or can't be parsed.
+
+    Parameters
+    ----------
+    endpoint : str
+        Name of the endpoint.
+    value : str
+        The value.
+    """
+    log_event(LOG, "odd-pause", "warning", endpoint=endpoint, value=value)
--- a/quetzalwall/process/cluster/endpoint_state.py
+++ b/quetzalwall/process/cluster/endpoint_state.py
@@ -3,6 +3,8 @@
 import math
 from collections import OrderedDict
 
+from quetzalwall.process.cluster.endpoint_log import log_odd_pause, log_pause
+
 __all__ = ["EndpointState"]
 
 SLOWNESS_DECAY_S = 0.6  # about as long as a noisy neighbour stays
@@ -13,6 +15,9 @@
 MAX_RECENT_OBJECTS = 64  # an endpoint's cache size is learned separately
 COLD_MARGIN_S = 0.5  # the endpoint may regard itself as cold a little longer
 SHED_AVOID_S = 0.15  # a full endpoint frees a slot about as often
+# For which an instance avoids an endpoint that asked another one for no requests; two
+# reports between regions.
+OVERLOAD_AVOID_S = 0.5
 
 
 class EndpointState:
@@ -56,6 +61,10 @@
         Monotonic seconds at which this instance learned that.
     on_draining : callable or None
         Called with the state when a response states that it is draining.
+    paused_until : float
+        Monotonic seconds until which it asks this instance for no requests.
+    pause_stated_at : float
+        Monotonic seconds of its last response that asked so.
     """
 
     def __init__(self, entry, region, client, now):
@@ -75,6 +84,9 @@
         self.draining_since = None
         self.draining_known_at = -math.inf
         self.on_draining = None
+        self.paused_until = -math.inf
+        self.pause_stated_at = -math.inf
+        self._odd_pause = ""
         self._slowness = 1.0
         self._slowness_at = -math.inf
         self._slowness_own = False
@@ -102,7 +114,7 @@
         draining = self.entry.draining or self.draining_since is not None
         return self.registered and not draining and not self.wrong_address
 
-    def observe_response(self, metadata):
+    def observe_response(self, metadata, now):
         """Record what any response from its address states, also one to be discarded.
 
         Parameters
@@ -110,10 +122,22 @@
         metadata : ResponseMetadata
             Metadata of the response. One that is not authentic, or from another
             endpoint at the address, is ignored.
+        now : float
+            Monotonic seconds.
         """
-        own = metadata.authentic and not metadata.misdirected
-        if metadata.draining and own and self.on_draining is not None:
+        if metadata.misdirected or not metadata.authentic:
+            return
+        if metadata.draining and self.on_draining is not None:
             self.on_draining(self)
+        if metadata.odd_pause and metadata.odd_pause != self._odd_pause:
+            log_odd_pause(self.name, metadata.odd_pause)
+        self._odd_pause = metadata.odd_pause
+        if metadata.pause_s:
+            if now >= self.paused_until:
+                log_pause(self.entry, metadata.pause_s)
+            self.pause_stated_at = now
+            # An earlier response may have asked for longer.
+            self.paused_until = max(self.paused_until, now + metadata.pause_s)
 
     def avoided(self, now):
         """Return whether it failed or shed requests lately and should get none for now.
@@ -346,6 +370,16 @@
         self._avoid_until = now + self._avoid_s
         self._avoid_s = min(MAX_AVOID_S, 2 * self._avoid_s)
 
+    def record_overload(self, at):
+        """Record that it asked another instance for no requests.
+
+        Parameters
+        ----------
+        at : float
+            Monotonic seconds of that response.
+        """
+        self._avoid_until = max(self._avoid_until, at + OVERLOAD_AVOID_S)
+
     def record_shed(self, now):
         """Record that it shed a request because it is full.
 
--- a/quetzalwall/process/cluster/endpoint_stats.py
+++ b/quetzalwall/process/cluster/endpoint_stats.py
@@ -5,6 +5,7 @@
 from quetzalwall.process.cluster.advertised_limit import ENDED, AdvertisedLimit
 from quetzalwall.process.cluster.advertised_limit_log import log_limit_change
 from quetzalwall.process.cluster.draining_signals import incarnation_code
+from quetzalwall.process.cluster.endpoint_state import OVERLOAD_AVOID_S
 
 __all__ = ["EndpointStats"]
 
@@ -54,6 +55,10 @@
             state = by_code(code)
             if state is not None:
                 _apply_limit(state, peer.info.name, figures, now)
+        for code, age_ms in report.overloaded:
+            state = by_code(code)
+            if state is not None:
+                state.record_overload(now - max(0, age_ms) / 1000)
         for code, age_ms in report.draining:
             at = now - max(0, age_ms) / 1000
             self._endpoints.draining_signals.record(code, at, peer.info.name)
@@ -98,6 +103,7 @@
             By the names of the fields of `PeerReport`.
         """
         in_flight, slowness, limits, draining = [], [], [], []
+        overloaded = []
         for code, state in self._endpoints.codes():
             if state.own_in_flight:
                 in_flight.append((code, state.own_in_flight))
@@ -109,6 +115,9 @@
                     state.advertised_limit = None
                 else:
                     limits.append((code, *state.advertised_limit.own_report(now)))
+            paused_s = now - state.pause_stated_at
+            if paused_s < OVERLOAD_AVOID_S:
+                overloaded.append((code, int(paused_s * 1000)))
             known_s = now - state.draining_known_at
             if state.draining_since is not None and (
                 complete or known_s < DRAINING_REPEAT_S
@@ -121,6 +130,7 @@
             "slowness": slowness,
             "advertised_limits": self._select_limits(limits),
             "draining": draining[:MAX_DRAINING_PER_REPORT],
+            "overloaded": overloaded[:MAX_DRAINING_PER_REPORT],
         }
 
     def _select_limits(self, limits):
--- a/quetzalwall/process/cluster/peer_report.py
+++ b/quetzalwall/process/cluster/peer_report.py
@@ -72,6 +72,9 @@
     draining : list of (int, int)
         Code of one start of an endpoint that has stated that it is draining, as of
         `incarnation_code`, and the age of that statement in ms.
+    overloaded : list of (int, int)
+        Code of an endpoint that has lately asked the sender for no requests, and the
+        age of that response in ms.
     """
 
     sender: PeerInfo | None
@@ -86,6 +89,7 @@
     confirmation_ages_ms: dict[str, int] = {}
     advertised_limits: list[tuple[int, int, int, int, int]] = []
     draining: list[tuple[int, int]] = []
+    overloaded: list[tuple[int, int]] = []
 
 
 _DECODER = msgspec.msgpack.Decoder(PeerReport)
--- a/quetzalwall/request/endpoint_chooser.py
+++ b/quetzalwall/request/endpoint_chooser.py
@@ -15,6 +15,7 @@
 from quetzalwall.request.candidate_sample import sample_candidates
 from quetzalwall.request.choice import STOPPING, Choice, Rejection
 from quetzalwall.request.latency_model import queueing_delay_s
+from quetzalwall.request.paused_endpoints import paused_s
 from quetzalwall.request.queueing_limits import create_queueing_limits
 
 __all__ = ["Chooser", "Choice", "Rejection", "create_chooser"]
@@ -127,6 +128,8 @@
         if not candidates and sample is not states:
             candidates = self._eligible(cfg, route, service, now, tried, states, region)
         if not candidates:
+            if wait_s := paused_s(self._endpoints, route, service, now):
+                return Rejection("paused", max(MIN_RETRY_AFTER_S, wait_s))
             return Rejection("no endpoint", MIN_RETRY_AFTER_S * 2)
         costs = self._request_costs(route, service, candidates)
         best, min_cost_s, get_rank = None, math.inf, preferred.get
@@ -277,6 +280,7 @@
             if (not route.regions or state.region in route.regions)
             and state.region not in full
             and state.name not in tried
+            and now >= state.paused_until
             and (now >= state.cold_until or self._cold_start_allows(cfg, state, now))
         ]
         limit_s = self._unresponsive_limit_s(service)
--- a/quetzalwall/request/request_server.py
+++ b/quetzalwall/request/request_server.py
@@ -21,6 +21,7 @@
 from quetzalwall.request.attempt_failure import record_attempt_failure
 from quetzalwall.request.choice import STOPPING, Rejection
 from quetzalwall.request.limit_announcement import record_limit_announcement
+from quetzalwall.request.paused_endpoints import paused_s
 from quetzalwall.request.request import RequestResult, more_severe
 from quetzalwall.request.request_log import (
     log_choice,
@@ -317,7 +318,10 @@
 
     def _failure_result(self, req, exc):
         if isinstance(exc, NotRun):
-            res = self._dialect.reject(FAILED_RETRY_S, exc.step, exc.message, exc.peer)
+            endpoints, now = self._cluster_state.endpoints, self._monotonic()
+            wait_s = paused_s(endpoints, req.route, req.service, now)
+            retry_after_s = max(FAILED_RETRY_S, wait_s)
+            res = self._dialect.reject(retry_after_s, exc.step, exc.message, exc.peer)
             return RequestResult(res, "not-run")
         in_time = self._monotonic() < min(req.deadline, self._grace.end)
         status = 502 if in_time else 504
--- a/quetzalwall/request/send_checks.py
+++ b/quetzalwall/request/send_checks.py
@@ -49,12 +49,14 @@
     CallerLeft
         The caller closed its connection.
     NotSent
-        The endpoint may not get new requests any more, or the request would not end
-        before this instance stops.
+        The endpoint may not get new requests any more or asks for none, or the request
+        would not end before this instance stops.
     """
     check_caller_connected(req)
     name = choice.state.name
     if not endpoints.is_routable(choice.state):
         raise NotSent("the endpoint leaves", "admission", name)
+    if now < choice.state.paused_until:
+        raise NotSent("the endpoint asks for no requests", "admission", name)
     if not chooser.fits(req.route, choice, req.deadline - now, grace.end - now):
         raise NotSent(STOPPING.reason, "admission", name)
