Order by (era, version) and recover when the store is restored

A store that is restored from a copy some seconds old assigns versions again. Instances asked for changes after versions that it had assigned anew, never saw the rows before them, and fell back with the copy.

platform/store.py reads Store-Era from every response and makes one number of era and version, so that every comparison of versions (feed, reports, peers' tables, claims, settings) orders by era first; in era 0 it is the version itself, as older builds report it. A version of an earlier era is never sent: a complete read or a rejected write instead.

When the era rises: the instance's row and the settings tree are written again; the active configuration stays, is exported in place of the copy's, and an instance that knows only the older one learns of it by a report field and takes it over; endpoints that the copy lacks, or of which it shows an earlier start, expire in 2 s; draining ones stay so; lost and brought-back evacuations stay as they were for 10 s or until their rows change. No claim is accepted for 3 s; instances write theirs again, and tell the others which keys they claimed by 64-bit codes: a key whose row is absent although it was claimed is not run.

--- a/quetzalwall/connection/json_client.py
+++ b/quetzalwall/connection/json_client.py
@@ -16,10 +16,11 @@
 
 
 class JsonResponse(NamedTuple):
-    """Status code and decoded body of a response."""
+    """Status code, decoded body, and headers by lower-case name of a response."""
 
     status: int
     body: object
+    headers: dict = {}
 
 
 class JsonClient:
@@ -107,7 +108,8 @@
             raise PeerError(str(exc), target, self.peer) from exc
         try:
             decoded = msgspec.json.decode(raw) if raw else None
-            return JsonResponse(res.status_code, decoded)
+            headers = {str(name).lower(): value for name, value in res.items()}
+            return JsonResponse(res.status_code, decoded, headers)
         except msgspec.DecodeError as exc:
             raise PeerError("answer is not JSON", target, self.peer) from exc
 
--- a/quetzalwall/platform/store.py
+++ b/quetzalwall/platform/store.py
@@ -7,6 +7,21 @@
 from quetzalwall.connection.json_client import create_json_client
 from quetzalwall.exceptions import PeerError, StoreError, StoreUnavailable
 from quetzalwall.logs import get_logger, log_event
+from quetzalwall.platform.store_era import (
+    combine_version,
+    era_of,
+    parse_era,
+    store_version,
+)
+from quetzalwall.platform.store_rows import (
+    RowChange,
+    Rows,
+    decode_row,
+    decode_rows,
+    is_row,
+    is_version,
+    row_address,
+)
 
 __all__ = [
     "HistoryGone",
@@ -26,49 +41,6 @@
     """The requested changes are no longer stored; the table must be read again."""
 
 
-class RowChange(NamedTuple):
-    """Current state of a row, or its removal.
-
-    Attributes
-    ----------
-    key : str
-        Key of the row.
-    value : bytes or None
-        Content; None if the row was removed.
-    version : int
-        Version of the transaction that changed the row.
-    """
-
-    key: str
-    value: bytes | None
-    version: int
-
-
-class Rows(NamedTuple):
-    """Rows of a table, or changes to them, up to one version.
-
-    Attributes
-    ----------
-    rows : list of RowChange
-        The rows, or the changes in the order of versions.
-    version : int
-        Version up to which they are known; the feed continues from it.
-    expired : frozenset of str, default=frozenset()
-        Keys of removed rows that may return, since the store was unavailable.
-    return_grace_s : float or None, default=None
-        Seconds within which they may return; None if the removal has just been found.
-    listed : frozenset of str or None, default=None
-        Keys of all rows of the table at that version, where ``rows`` are changes; known
-        rows with other keys have been removed. None if removals are among the changes.
-    """
-
-    rows: list
-    version: int
-    expired: frozenset = frozenset()
-    return_grace_s: float | None = None
-    listed: frozenset | None = None
-
-
 class TransactionResult(NamedTuple):
     """Result of a transaction.
 
@@ -99,11 +71,38 @@
     timeout_s : float, default=2.0
         Time-out of a call in seconds. For `follow`, the time that the store may wait
         for a change is added to it.
+
+    Attributes
+    ----------
+    era : int
+        The latest known era of the store.
+    on_new_era : list of callable
+        Called with each later era, before the response that names it is used, and
+        whether nothing was known of the store before. They must not wait.
     """
 
     def __init__(self, host, port, timeout_s=2.0):
         self._client = create_json_client(host, port, STORE_PEER, timeout_s, size=8)
         self.timeout_s = timeout_s
+        self.era = 0
+        self.on_new_era = []
+        self._has_responded = False
+
+    def learn_era(self, era):
+        """Record an era that a response of the store or another instance names.
+
+        Parameters
+        ----------
+        era : int
+            The era; one that is not later changes nothing.
+        """
+        first, self._has_responded = not self._has_responded, True
+        if era <= self.era:
+            return
+        log_event(LOG, "store-era", "warning", era=era, before=self.era)
+        self.era = era
+        for callback in self.on_new_era:
+            callback(era, first)
 
     @property
     def exchanged_bytes(self):
@@ -127,15 +126,19 @@
         StoreUnavailable
             No response arrived, or the store is rejecting calls.
         """
-        rows, first_version, start = [], None, ""
+        rows, first_version, first_era, start = [], None, None, ""
         while True:
             query = {"table": table, "part": "", "limit": PAGE_ROWS}
             if start:
                 query["from"] = start
-            body = self._get("/rows-get", query)
-            page = _decode_rows(body["rows"])
+            body, era = self._get("/rows-get", query)
+            if first_era is None:
+                first_era, first_version = era, combine_version(era, body["ver"])
+            if era != first_era:
+                message = "restored while a table was read"
+                raise StoreUnavailable(message, "/rows-get", STORE_PEER)
+            page = decode_rows(body["rows"], era)
             rows += page
-            first_version = body["ver"] if first_version is None else first_version
             if not body.get("hasMore") or not page:
                 return Rows(rows, first_version)
             # No key sorts between a key and the same key with a zero byte appended.
@@ -160,13 +163,21 @@
         Raises
         ------
         HistoryGone
-            The store no longer has all of these changes.
+            The store no longer has all of these changes, or the version is of an
+            earlier era, in which case the store may have assigned it again.
         StoreUnavailable
             No response arrived, or the store is rejecting calls.
         """
-        query = {"table": table, "after": after, "waitMs": int(wait_s * 1000)}
-        body = self._get("/rows-feed", query, wait_s)
-        return Rows(_decode_rows(body["rows"]), body["ver"])
+        era = self.era
+        if era_of(after) < era:
+            raise HistoryGone("version of an earlier era", "/rows-feed", STORE_PEER)
+        wait_ms = int(wait_s * 1000)
+        query = {"table": table, "after": store_version(after), "waitMs": wait_ms}
+        body, found_era = self._get("/rows-feed", query, wait_s)
+        if found_era > era_of(after):
+            raise HistoryGone("restored since that version", "/rows-feed", STORE_PEER)
+        rows = decode_rows(body["rows"], found_era)
+        return Rows(rows, combine_version(found_era, body["ver"]))
 
     def put(self, table, key, value):
         """Write or remove one row unconditionally.
@@ -183,14 +194,14 @@
         StoreUnavailable
             No response arrived; the write may have been applied.
         """
-        row_address = _row_address(table, key)
+        address = row_address(table, key)
         puts, deletes = [], []
         if value is None:
-            deletes.append(row_address)
+            deletes.append(address)
         else:
-            puts.append(row_address | {"value": base64.b64encode(value).decode()})
+            puts.append(address | {"value": base64.b64encode(value).decode()})
         body = {"expectedRev": [], "puts": puts, "deletes": deletes}
-        self._call_for_body("POST", "/rows-tx", body, None)
+        self._call("POST", "/rows-tx", body, None)
 
     def read_row(self, table, key):
         """Return one row.
@@ -233,7 +244,8 @@
             No response arrived, or the store is rejecting calls.
         """
         query = {"table": table, "part": "", "from": first, "target": end}
-        return _decode_rows(self._get("/rows-get", query)["rows"])
+        body, era = self._get("/rows-get", query)
+        return decode_rows(body["rows"], era)
 
     def transact(self, checks, writes, timeout_s=None):
         """Write rows atomically if other rows have the expected versions.
@@ -254,30 +266,41 @@
         Raises
         ------
         StoreUnavailable
-            No response arrived; the transaction may have been applied.
+            No response arrived, or the store was restored meanwhile; the transaction
+            may have been applied. Or an expected version is of an earlier era.
         """
+        era = self.era
+        if any(version and era_of(version) != era for version in checks.values()):
+            message = "version of an earlier era"
+            raise StoreUnavailable(message, "/rows-tx", STORE_PEER)
         body = {
             "expectedRev": [
-                _row_address(table, key) | {"ver": version}
+                row_address(table, key) | {"ver": store_version(version)}
                 for (table, key), version in checks.items()
             ],
             "puts": [
-                _row_address(table, key) | {"value": base64.b64encode(value).decode()}
+                row_address(table, key) | {"value": base64.b64encode(value).decode()}
                 for (table, key), value in writes.items()
             ],
             "deletes": [],
         }
-        response = self._call("POST", "/rows-tx", body, timeout_s, accepted=(200, 412))
+        response, found_era = self._call(
+            "POST", "/rows-tx", body, timeout_s, accepted=(200, 412)
+        )
+        if not found_era == era == self.era:
+            message = "restored during a transaction"
+            raise StoreUnavailable(message, "/rows-tx", STORE_PEER)
         result = response.body if isinstance(response.body, dict) else {}
         rows = [
-            (row["table"], _decode_row(row))
+            (row["table"], decode_row(row, era))
             for row in result.get("rows") or ()
-            if _is_row(row) and isinstance(row.get("table"), str)
+            if is_row(row) and isinstance(row.get("table"), str)
         ]
         present = [pair for pair in rows if pair[1].value is not None]
         version = result.get("ver", 0)
-        if not isinstance(version, int):
+        if not is_version(version):
             raise StoreUnavailable("answer has no version", "/rows-tx", STORE_PEER)
+        version = combine_version(era, version)
         return TransactionResult(response.status == 200, version, present)
 
     def close(self):
@@ -286,60 +309,31 @@
 
     def _get(self, path, query, wait_s=0.0):
         target = f"{path}?{urlencode(query)}"
-        body = self._call_for_body("GET", target, None, self.timeout_s + wait_s)
+        timeout_s = self.timeout_s + wait_s
+        response, era = self._call("GET", target, None, timeout_s)
+        body = response.body
         if not isinstance(body, dict) or not isinstance(body.get("rows"), list):
             raise StoreUnavailable("answer has no rows", step=path, peer=STORE_PEER)
-        if not isinstance(body.get("ver"), int):
+        if not is_version(body.get("ver")):
             raise StoreUnavailable("answer has no version", step=path, peer=STORE_PEER)
-        return body
-
-    def _call_for_body(self, method, target, body, timeout_s):
-        return self._call(method, target, body, timeout_s).body
+        return body, era
 
     def _call(self, method, target, body, timeout_s, accepted=(200,)):
+        """Return the response and its era."""
         step = target.partition("?")[0]
         try:
             response = self._client.call(method, target, body, timeout_s=timeout_s)
         except PeerError as exc:
             raise StoreUnavailable(exc.message, step=step, peer=STORE_PEER) from exc
+        era = parse_era(response.headers)
+        self.learn_era(self.era if era is None else era)
         if response.status == 410:
             raise HistoryGone("history is gone", step=step, peer=STORE_PEER)
         if response.status in (429, 503) or response.status >= 500:
             raise StoreUnavailable(f"status {response.status}", step, STORE_PEER)
         if response.status not in accepted:
             raise StoreError(f"status {response.status}", step=step, peer=STORE_PEER)
-        return response
-
-
-def _row_address(table, key):
-    return {"table": table, "part": "", "key": key}
-
-
-def _decode_rows(rows):
-    """Return the rows that name a key and a version; the others are logged."""
-    valid = [row for row in rows if _is_row(row)]
-    if len(valid) < len(rows):
-        log_event(LOG, "bad-row", "warning", rows=len(rows) - len(valid))
-    return [_decode_row(row) for row in valid]
-
-
-def _is_row(row):
-    return (
-        isinstance(row, dict)
-        and isinstance(row.get("key"), str)
-        and isinstance(row.get("ver", 0), int)
-    )
-
-
-def _decode_row(row):
-    version = row.get("ver", 0)
-    if row.get("removed"):
-        return RowChange(row["key"], None, version)
-    try:
-        value = base64.b64decode(row.get("value") or "", validate=True)
-    except (ValueError, TypeError):
-        value = b""
-    return RowChange(row["key"], value, version)
+        return response, self.era if era is None else era
 
 
 def create_store_client(host, port, timeout_s=2.0):
--- a/quetzalwall/process/cluster/cluster_state.py
+++ b/quetzalwall/process/cluster/cluster_state.py
@@ -5,7 +5,7 @@
 import gevent
 
 from quetzalwall.connection.yielding_socket import YIELD_SLEEP_S
-from quetzalwall.exceptions import MissingRows, PeerError, SettingsError
+from quetzalwall.exceptions import MissingRows, SettingsError
 from quetzalwall.logs import get_logger, log_event
 from quetzalwall.platform.rows import (
     CONFIG_KEY,
@@ -16,11 +16,16 @@
     decode_configuration,
     decode_endpoint,
 )
-from quetzalwall.platform.store import RowChange, Rows
+from quetzalwall.platform.store import RowChange
+from quetzalwall.platform.store_era import era_of
+from quetzalwall.process.cluster.evacuations import EVACUATION_HOLD_S, Evacuations
+from quetzalwall.process.cluster.exported_rows import read_exported
+from quetzalwall.process.cluster.restored_entries import keep_known_starts
 from quetzalwall.process.storage.settings_tree import read_tree
 from quetzalwall.process.storage.store_table import SETTINGS_TABLE
 
 __all__ = [
+    "CONFIGURATION_TABLES",
     "PLATFORM_TABLES",
     "TREE_TABLES",
     "ClusterState",
@@ -31,6 +36,7 @@
 PLATFORM_TABLES = (OPERATOR_TABLE, ENDPOINTS_TABLE)
 TREE_TABLES = (SETTINGS_TABLE,)
 
+CONFIGURATION_TABLES = (OPERATOR_TABLE, SETTINGS_TABLE)
 ROWS_PER_SLICE = 200  # applied before other tasks run
 MAX_REMOVALS = 2000  # kept for each table, to export them to other instances
 LOG = get_logger("config")
@@ -68,6 +74,10 @@
         # Versions of the store after which all removals are known.
         self._removals_after = dict.fromkeys(tables, 0)
         self._versions = {}
+        self._evacuations = Evacuations()
+        # Rows of the active configuration, and whether those of the store are older.
+        self._active_rows = {}
+        self._store_is_older = False
         self._applied = set()
         self._applying = set()
 
@@ -109,6 +119,10 @@
             Rows are listed that are neither known nor among the changes.
         """
         changes = list(rows.rows)
+        known_era = era_of(self._versions.get(table, 0))
+        # Rows that a restored copy lacks may return, as after an outage.
+        restored = table in self._versions and era_of(rows.version) > known_era
+        after_outage = after_outage or restored
         listed = rows.listed
         if complete:
             listed = {change.key for change in changes}
@@ -128,6 +142,7 @@
         expired = {
             c.key for c in changes if c.value is None and after_outage
         } | rows.expired
+        removed_before = set(self._removed[table]) if restored else set()
         for change in changes:
             self._record_change(table, change, change.key in expired)
         self._versions[table] = rows.version
@@ -140,10 +155,14 @@
             known = self.fleet.table_versions.get(table, 0)
             self.fleet.table_versions[table] = max(known, newest)
         if table == OPERATOR_TABLE:
+            if restored:
+                self._hold_evacuations(removed_before, rows.version)
             self._apply_operator_rows(changes)
         elif table == ENDPOINTS_TABLE:
             self._applying.add(table)
             try:
+                if restored:
+                    expired |= keep_known_starts(self.endpoints, changes)
                 self._apply_endpoints(changes, expired, rows.return_grace_s)
             finally:
                 self._applying.discard(table)
@@ -171,15 +190,22 @@
         """
         if table not in self._versions or table in self._applying:
             return None
+        known = self._rows[table]
+        if self._store_is_older and table in CONFIGURATION_TABLES:
+            version = self._versions[table]
+            known = known | {
+                key: RowChange(key, value, version)
+                for key, value in self._active_rows.items()
+            }
         listed = None
         if after < self._removals_after[table]:
             if listing and after > 0:
-                listed = list(self._rows[table])
+                listed = list(known)
             else:
                 after = 0
         rows = {
             key: [base64.b64encode(change.value).decode(), change.version]
-            for key, change in self._rows[table].items()
+            for key, change in known.items()
             if change.version > after
         }
         removed = {}
@@ -188,7 +214,7 @@
             # A complete table, or a list of its keys, omits removed rows, except for
             # entries that may return.
             omitted = after == 0 or listed is not None
-            if version > after and (grace_s > 0 or not omitted):
+            if key not in known and version > after and (grace_s > 0 or not omitted):
                 removed[key] = [version, grace_s]
         exported = {
             "version": self._versions[table],
@@ -211,25 +237,50 @@
             version, _ = removed.pop(next(iter(removed)))
             self._removals_after[table] = max(self._removals_after[table], version)
 
+    def _hold_evacuations(self, removed, version):
+        prefix = len(EVACUATION_PREFIX)
+        withdrawn = {key[prefix:] for key in removed}
+        self._evacuations.hold(self._evacuated_by_rows(), withdrawn, version)
+        gevent.spawn_later(EVACUATION_HOLD_S, self._release_evacuations)
+
     def _apply_operator_rows(self, changes):
         for change in changes:
-            if change.key == CONFIG_KEY and change.value is not None:
+            if change.key == CONFIG_KEY:
                 self._apply_configuration(change)
         prefix = len(EVACUATION_PREFIX)
-        domains = {
-            key[prefix:]
-            for key in self._rows[OPERATOR_TABLE]
-            if key.startswith(EVACUATION_PREFIX)
+        changed = {
+            change.key[prefix:]: change.version
+            for change in changes
+            if change.key.startswith(EVACUATION_PREFIX)
         }
-        self.endpoints.set_evacuated(domains, self._cold_s)
+        evacuated = self._evacuations.update(self._evacuated_by_rows(), changed)
+        self.endpoints.set_evacuated(evacuated, self._cold_s)
+
+    def _evacuated_by_rows(self):
+        prefix, rows = len(EVACUATION_PREFIX), self._rows[OPERATOR_TABLE]
+        return {key[prefix:] for key in rows if key.startswith(EVACUATION_PREFIX)}
+
+    def _release_evacuations(self):
+        if self._evacuations.is_holding():
+            log_event(LOG, "evacuations-released", "warning")
+            self._evacuations.release()
+            self._apply_operator_rows([])
 
     def _apply_configuration(self, change):
+        """Activate the configuration in a row; return whether it became active."""
+        self._store_is_older = self._cfg is not None
+        if change.value is None:
+            return False
         try:
             cfg = decode_configuration(change.value)
         except RowError as exc:
             log_event(LOG, "refused", "error", row=change.version, reason=exc.message)
-            return
-        self._activate(cfg, change.version)
+            return False
+        activated = self._activate(cfg, change.version)
+        if activated:
+            self._active_rows = {CONFIG_KEY: change.value}
+        self._store_is_older = cfg.version < self._cfg.version
+        return activated
 
     def _activate(self, cfg, row):
         """Activate a configuration if it is newer, and return whether it was."""
@@ -239,6 +290,7 @@
                 log_event(LOG, "older", "warning", version=cfg.version, known=known)
             return False
         self._cfg = cfg
+        self.fleet.configuration_version = cfg.version
         log_event(
             LOG,
             "in-force",
@@ -254,14 +306,20 @@
 
     def _apply_settings_tree(self):
         rows = self._rows[SETTINGS_TABLE]
+        self._apply_tree({key: change.value for key, change in rows.items()})
+
+    def _apply_tree(self, values):
+        """Activate the settings tree in rows; return whether it became active."""
         try:
-            tree = read_tree({key: change.value for key, change in rows.items()})
+            tree = read_tree(values)
         except SettingsError as exc:
             log_event(LOG, "refused", "error", reason=exc.message)
-            return
+            return False
+        version = tree.version if tree else 0
+        self._store_is_older = self._cfg is not None and version < self._cfg.version
         if tree is None or not self._activate(tree.compiled.cfg, tree.version):
-            return
-        self.tree = tree
+            return False
+        self.tree, self._active_rows = tree, values
         self.endpoints.domains = tree.compiled.domains
         listed = {entry.name for entry in tree.compiled.entries}
         for state in self.endpoints:
@@ -269,6 +327,27 @@
                 self.endpoints.remove(state.name, False)
         for entry in tree.compiled.entries:
             self.endpoints.put(entry)
+        return True
+
+    def adopt_configuration(self, rows):
+        """Activate a newer configuration of another instance, not that of the store.
+
+        Parameters
+        ----------
+        rows : Rows
+            All rows of the table that holds the configuration.
+        """
+        if OPERATOR_TABLE in self.tables:
+            changes = [change for change in rows.rows if change.key == CONFIG_KEY]
+            adopted = any(
+                change.value is not None and self._apply_configuration(change)
+                for change in changes
+            )
+        else:
+            values = {c.key: c.value for c in rows.rows if c.value is not None}
+            adopted = self._apply_tree(values)
+        if adopted:
+            self._store_is_older = True
 
     def _cold_s(self, service):
         spec = self._cfg.services.get(service) if self._cfg else None
@@ -300,46 +379,6 @@
             log_event(LOG, "registry", endpoints=len(self.endpoints))
 
 
-def read_exported(body, peer):
-    """Return the rows that another instance exported.
-
-    Parameters
-    ----------
-    body : object
-        Decoded JSON of `ClusterState.export`.
-    peer : str
-        The other instance, for error messages.
-
-    Returns
-    -------
-    (Rows, bool)
-        The rows, and whether they are all rows of the table.
-
-    Raises
-    ------
-    PeerError
-        The body is malformed.
-    """
-    try:
-        rows = [
-            RowChange(key, base64.b64decode(value, validate=True), int(version))
-            for key, (value, version) in body["rows"].items()
-        ]
-        rows += [
-            RowChange(key, None, int(version))
-            for key, (version, _) in body["removed"].items()
-        ]
-        returning = {key: float(s) for key, (_, s) in body["removed"].items() if s}
-        grace_s = min(returning.values(), default=None)
-        rows.sort(key=lambda change: change.version)
-        version = int(body["version"])
-        listed = frozenset(body["keys"]) if "keys" in body else None
-        found = Rows(rows, version, frozenset(returning), grace_s, listed)
-        return found, bool(body["whole"])
-    except (KeyError, TypeError, ValueError, AttributeError) as exc:
-        raise PeerError(f"bad rows: {exc!r}", step="read rows", peer=peer) from exc
-
-
 def create_cluster_state(endpoints, fleet, tables=PLATFORM_TABLES):
     """Return a cluster state to which no rows have been applied.
 
--- a/quetzalwall/process/cluster/draining_signals.py
+++ b/quetzalwall/process/cluster/draining_signals.py
@@ -84,17 +84,33 @@
         if stated_at is not None:
             self._apply(state, stated_at, "known")
 
+    def record_entry(self, entry, source):
+        """Keep out of use an endpoint whose entry says that it is draining.
+
+        Parameters
+        ----------
+        entry : EndpointEntry
+            The entry, which an older one may replace.
+        source : str
+            As of `log_leaving_stated`.
+        """
+        self.record(incarnation_code(entry), self._monotonic(), source)
+
     def end_removed(self, entry):
         """Forget a removed endpoint whose next start could not be told from this one.
 
+        One that was draining stays known, since a restored store may show it as ready.
+
         Parameters
         ----------
         entry : EndpointEntry
             The entry that was removed.
         """
+        code = incarnation_code(entry)
         if entry.incarnation != UNKNOWN_INCARNATION:
+            if entry.draining:
+                _put_bounded(self._stated_at, code, self._monotonic())
             return
-        code = incarnation_code(entry)
         if self._stated_at.pop(code, None) is not None:
             # Peers that still have the entry go on reporting the statement.
             _put_bounded(self._ended_at, code, self._monotonic())
--- a/quetzalwall/process/cluster/endpoint_log.py
+++ b/quetzalwall/process/cluster/endpoint_log.py
@@ -43,7 +43,8 @@
         Its entry.
     source : str
         ``"answer"`` for a response to this instance, ``"known"`` if it was known
-        before the entry, or the name of the instance that reported it.
+        before the entry, ``"copy"`` if its entry said so before the store was restored
+        from an older copy, or the name of the instance that reported it.
     age_s : float
         Seconds since the statement.
     """
--- a/quetzalwall/process/cluster/fleet.py
+++ b/quetzalwall/process/cluster/fleet.py
@@ -7,6 +7,7 @@
 import math
 
 from quetzalwall.logs import get_logger, log_event
+from quetzalwall.process.cluster.claim_codes import ClaimCodes
 from quetzalwall.process.cluster.endpoint_code import endpoint_code
 from quetzalwall.process.cluster.endpoint_stats import EndpointStats
 from quetzalwall.process.cluster.members import Members, is_member
@@ -63,6 +64,10 @@
         Version of the last change known of each table.
     read_versions : dict of str to int
         Version of the store up to which each table has been read.
+    configuration_version : int
+        Version of the active configuration; 0 if there is none.
+    claim_codes : ClaimCodes
+        Which idempotency keys were claimed lately.
     traffic : TrafficMeter or None
         Counts the bytes of reports; None counts none.
     table_updates : TableUpdates
@@ -75,6 +80,8 @@
         self.reaches_store = True
         self.table_versions = {}
         self.read_versions = {}
+        self.configuration_version = 0
+        self.claim_codes = ClaimCodes()
         self.traffic = None
         self.table_updates = TableUpdates()
         self._port = port
@@ -227,14 +234,12 @@
         if report.process_id != peer.process_id:
             self._identities.replace(peer.former_process_id, report)
             peer.former_process_id, peer.process_id = peer.process_id, report.process_id
-        peer.sequence = report.sequence
         if peer.unresponsive:
             log_event(LOG, "heard", peer=sender.name, domain=sender.domain)
         if report.leaving and not peer.leaving:
             log_event(LOG, "leaving", peer=sender.name)
-        peer.leaving = report.leaving
-        peer.reaches_store = report.reaches_store
-        peer.table_versions = report.table_versions
+        peer.apply(report)
+        self.claim_codes.receive(report.claimed, now)
         self.table_updates.receive(report, now)
         if peer.unresponsive:
             self._next_timeout = -math.inf
@@ -374,6 +379,8 @@
             self.table_versions,
             cached=list(group.cached),
             confirmation_ages_ms=self.table_updates.confirmation_ages_ms(now),
+            configuration_version=self.configuration_version,
+            claimed=self.claim_codes.own_report(now),
             **figures,
         )
 
--- a/quetzalwall/process/cluster/peer_report.py
+++ b/quetzalwall/process/cluster/peer_report.py
@@ -75,6 +75,12 @@
     overloaded : list of (int, int)
         Code of an endpoint that has lately asked the sender for no requests, and the
         age of that response in ms.
+    configuration_version : int
+        Version of the active configuration; 0 if there is none. It never goes back,
+        while the store may show an older one after it was restored.
+    claimed : list of int
+        Codes of the idempotency keys that the sender claimed lately, as of
+        `ClaimCodes`.
     """
 
     sender: PeerInfo | None
@@ -90,6 +96,8 @@
     advertised_limits: list[tuple[int, int, int, int, int]] = []
     draining: list[tuple[int, int]] = []
     overloaded: list[tuple[int, int]] = []
+    configuration_version: int = 0
+    claimed: list[int] = []
 
 
 _DECODER = msgspec.msgpack.Decoder(PeerReport)
@@ -114,6 +122,8 @@
         Monotonic seconds at which this instance last sent it a report.
     in_flight : dict of int to int
         Its requests in flight, by code of the endpoint.
+    configuration_version : int
+        Version of its active configuration; 0 if it has none.
     unresponsive : bool
         Whether its reports are overdue, or none has come yet.
     """
@@ -126,12 +136,27 @@
         self.leaving = False
         self.reaches_store = False
         self.table_versions = {}
+        self.configuration_version = 0
         self.last_seen = -math.inf
         self.added_at = -math.inf
         self.in_flight = {}
         self.last_sent_at = -math.inf
         self.unresponsive = True
 
+    def apply(self, report):
+        """Keep what a newer report says about its sender.
+
+        Parameters
+        ----------
+        report : PeerReport
+            The report.
+        """
+        self.sequence = report.sequence
+        self.leaving = report.leaving
+        self.reaches_store = report.reaches_store
+        self.table_versions = report.table_versions
+        self.configuration_version = report.configuration_version
+
 
 def encode_report(report):
     """Return a report as a datagram.
--- a/quetzalwall/process/cluster/peer_tables.py
+++ b/quetzalwall/process/cluster/peer_tables.py
@@ -79,6 +79,24 @@
             self._failed_at[address] = self._monotonic()
         return found
 
+    def fetch_from(self, host, table):
+        """Return all rows of a table that one instance exports.
+
+        Parameters
+        ----------
+        host : str
+            IP address of the instance.
+        table : str
+            Name of the table.
+
+        Returns
+        -------
+        Rows or None
+            None without a usable response.
+        """
+        found = _request_table((host, self._port), table, 0)
+        return found[0] if found is not None and found[1] else None
+
     def _sort_key(self, info):
         """Return a key that puts the own region first.
 
--- a/quetzalwall/process/front.py
+++ b/quetzalwall/process/front.py
@@ -3,6 +3,7 @@
 import os
 import platform
 import random
+from functools import partial
 
 import gevent
 import gevent.event
@@ -25,7 +26,9 @@
     read_settings,
 )
 from quetzalwall.platform.store import create_store_client
+from quetzalwall.platform.store_era import era_of
 from quetzalwall.process.cluster.cluster_state import PLATFORM_TABLES, TREE_TABLES
+from quetzalwall.process.cluster.configuration_sync import create_configuration_sync
 from quetzalwall.process.cluster.peer_tables import create_peer_tables
 from quetzalwall.process.cluster.store_watch import create_table_watch
 from quetzalwall.process.front_interfaces import create_interfaces
@@ -42,6 +45,7 @@
     create_memory_budget,
     max_connections,
 )
+from quetzalwall.process.restored_store import recover_restored
 from quetzalwall.process.self_watch import CHECK_PERIOD_S, create_self_watch
 from quetzalwall.process.tasks import repeat
 
@@ -53,6 +57,7 @@
 TRAFFIC_PERIOD_S = 10.0  # between two log lines of the bytes exchanged so far
 EXPIRY_PERIOD_S = 0.25  # an expired entry removed this late is still within its bound
 STORE_TIMEOUT_S = 1.2
+SYNC_PERIOD_S = 0.1  # between two comparisons with the configuration of peers
 MIN_STOP_FRACTION = 0.7  # of the grace period: a planned stop lasts at least this long
 MAX_STOP_FRACTION = 0.92  # of the grace period: then requests are no longer awaited
 STOP_POLL_S = 0.05
@@ -97,11 +102,11 @@
         )
         self.memory_budget = create_memory_budget(settings.memory_mb)
         self.metrics = create_front_metrics()
-        self._store = create_store_client(*settings.store, STORE_TIMEOUT_S)
+        self.store = create_store_client(*settings.store, STORE_TIMEOUT_S)
         tree = NO_TREE
         if from_tree:
             tree = create_tree_parts(
-                settings, self.cluster_state, self._store, clock, rng
+                settings, self.cluster_state, self.store, clock, rng
             )
         self.settings_admin, self._batcher, claims = tree
         serving = create_serving(
@@ -112,6 +117,11 @@
         self._watches = {
             table: self._create_watch(table) for table in self.cluster_state.tables
         }
+        recover = partial(recover_restored, self, claims)
+        self.store.on_new_era.append(recover)
+        self._configuration_sync = create_configuration_sync(
+            self.cluster_state, self._peer_tables.fetch_from, now
+        )
         self._servers = {}
         self._tasks = []
         self._removals_seen = 0
@@ -153,13 +163,14 @@
         if self._batcher is not None:
             self._batcher.start()
         self._tasks = [
-            gevent.spawn(register, self._store, self.fleet),
+            gevent.spawn(register, self.store, self.fleet),
             self._open_metrics(),
             repeat(self._tick, TICK_PERIOD_S),
             repeat(self._check_settings, SETTINGS_PERIOD_S),
             repeat(self.self_watch.look, CHECK_PERIOD_S),
             repeat(self._make_room, EVICTION_PERIOD_S),
             repeat(self.endpoints.drop_lapsed, EXPIRY_PERIOD_S),
+            repeat(self._configuration_sync.check, SYNC_PERIOD_S),
             repeat(self._log_traffic, TRAFFIC_PERIOD_S),
         ]
         log_event(
@@ -196,7 +207,7 @@
         self.stopping = self.fleet.leaving = True
         self._grace.begin(grace_s)
         log_event(LOG, "stopping", in_flight=self.in_flight)
-        gevent.spawn(unregister, self._store, self.fleet)
+        gevent.spawn(unregister, self.store, self.fleet)
         deadline = start + MAX_STOP_FRACTION * grace_s
         gevent.sleep(MIN_STOP_FRACTION * grace_s)
         while self.in_flight and self.clock.monotonic() < deadline:
@@ -231,7 +242,7 @@
         for server in self._servers.values():
             server.stop(timeout=0)
         self.endpoints.close()
-        self._store.close()
+        self.store.close()
         self._stopped.set()
 
     def reload(self):
@@ -254,10 +265,12 @@
 
     def _create_watch(self, table):
         def on_rows(rows, complete, after_outage):
+            # Another instance may have read the restored store before this one.
+            self.store.learn_era(era_of(rows.version))
             self.cluster_state.apply(table, rows, complete, after_outage)
 
         return create_table_watch(
-            self._store,
+            self.store,
             table,
             on_rows,
             lambda after: self._peer_tables.fetch(table, after),
@@ -295,7 +308,7 @@
         dict of (str, str) to int
             By kind and distance, as of `TrafficMeter`; the store's is unknown.
         """
-        return self.traffic.totals | {("store", "unknown"): self._store.exchanged_bytes}
+        return self.traffic.totals | {("store", "unknown"): self.store.exchanged_bytes}
 
     def _log_traffic(self):
         totals = sorted(self.exchanged_bytes().items())
--- a/quetzalwall/process/front_parts.py
+++ b/quetzalwall/process/front_parts.py
@@ -141,7 +141,10 @@
     """
     table = create_store_table(store)
     batcher = create_write_batcher(table, clock, rng)
-    claims = create_claims(batcher, clock, settings.instance, spawn=gevent.spawn)
+    codes = cluster_state.fleet.claim_codes
+    claims = create_claims(
+        batcher, clock, settings.instance, spawn=gevent.spawn, codes=codes
+    )
     settings_admin = create_settings_admin(cluster_state, table, clock)
     return TreeParts(settings_admin, batcher, claims)
 
--- a/quetzalwall/process/storage/settings_admin.py
+++ b/quetzalwall/process/storage/settings_admin.py
@@ -7,6 +7,10 @@
 
 from quetzalwall.exceptions import SettingsConflict, SettingsError, StoreUnavailable
 from quetzalwall.logs import get_logger, log_event
+from quetzalwall.process.storage.tree_restore import (
+    restore_tree,
+    restore_tree_until_done,
+)
 from quetzalwall.version.settings_store import history, put_subtree
 from quetzalwall.version.tree import merge_tree
 
@@ -75,6 +79,9 @@
             log_event(LOG, "refused", "warning", team=team, reason="credential")
             return 403, {"message": f"credential is not that of team {team}"}
         try:
+            # The change must not be based on a tree that a restored store shows.
+            if self._cluster_state.tree is not None:
+                restore_tree(self._table, self._cluster_state.tree)
             version = put_subtree(
                 self._table,
                 team,
@@ -96,6 +103,10 @@
         log_event(LOG, "accepted", team=team, version=version, author=body["author"])
         return 200, {"version": version, "accepted": "yes"}
 
+    def restore(self):
+        """Write the active settings again if a restored store shows older ones."""
+        restore_tree_until_done(self._table, self._cluster_state)
+
     def history(self):
         """Return the latest changes of the settings.
 
--- a/quetzalwall/process/storage/store_table.py
+++ b/quetzalwall/process/storage/store_table.py
@@ -77,6 +77,11 @@
         self._store = store
         self.timeout_s = store.timeout_s
 
+    @property
+    def era(self):
+        """Latest known era of the store."""
+        return self._store.era
+
     def read(self, keys):
         """Return rows by key, read one after another in the given order.
 
--- a/quetzalwall/process/storage/write_batcher.py
+++ b/quetzalwall/process/storage/write_batcher.py
@@ -12,6 +12,7 @@
 from gevent.queue import Empty, Queue
 
 from quetzalwall.exceptions import StoreUnavailable
+from quetzalwall.platform.store_era import era_of
 from quetzalwall.process.tasks import repeat
 
 __all__ = ["RowWrite", "WriteBatcher", "WriteResult", "create_write_batcher"]
@@ -159,6 +160,7 @@
         """Send a batch; return the writes that have to be sent again."""
         now = self._clock.monotonic()
         batch = [write for write in batch if now < write.deadline]
+        batch = self._drop_stale(batch)
         if not batch:
             return []
         checks = {write.key: write.expected_version for write in batch}
@@ -180,6 +182,16 @@
             return []
         return self._resolve_conflicts(batch, result.rows)
 
+    def _drop_stale(self, batch):
+        """Reject writes that expect a row as it was before the store was restored."""
+        current, era = [], self._table.era
+        for write in batch:
+            if write.expected_version and era_of(write.expected_version) < era:
+                write.result.set(WriteResult(False, 0, None))
+            else:
+                current.append(write)
+        return current
+
     def _resolve_conflicts(self, batch, rows):
         """Set the results of conflicting writes; return the other writes."""
         for write in batch:
--- a/quetzalwall/request/claim.py
+++ b/quetzalwall/request/claim.py
@@ -9,10 +9,12 @@
 
 import base64
 import hashlib
+import math
 from typing import NamedTuple
 from uuid import uuid4
 
 from quetzalwall.exceptions import NotRun, StoreUnavailable
+from quetzalwall.request.recent_claims import RecentClaims, is_unheld
 
 __all__ = [
     "Claim",
@@ -28,6 +30,9 @@
 NOT_RUN = "not-run"
 UNKNOWN = "unknown"
 RECORD_TIMEOUT_S = 30.0
+# After the store was restored: until then all instances have reported their claims and
+# those that reach the store have written them again.
+RESTORE_PAUSE_S = 3.0
 IN_PROGRESS_MARGIN_S = 5.0  # over the longest duration of the request
 
 
@@ -92,14 +97,24 @@
         Name of this instance.
     spawn : callable
         Starts a task, so that writing a record does not delay the response.
+    codes : ClaimCodes or None, default=None
+        Tells the other instances of claims, and which they have made.
     """
 
-    def __init__(self, batcher, clock, instance, spawn):
+    def __init__(self, batcher, clock, instance, spawn, codes=None):
+        self._codes = codes
+        self._recent = RecentClaims(batcher, clock, spawn)
+        self._accept_after = -math.inf
         self._batcher = batcher
         self._clock = clock
         self._instance = instance
         self._spawn = spawn
 
+    def begin_era(self):
+        """Begin to recover from a restore of the store from an older copy."""
+        self._accept_after = self._clock.monotonic() + RESTORE_PAUSE_S
+        self._recent.rewrite_all()
+
     def claim(self, service, key, digest, duration_s, deadline):
         """Claim a key before its request is sent.
 
@@ -123,8 +138,10 @@
         Raises
         ------
         NotRun
-            The table did not respond in time, so the request was not sent.
+            The table did not respond in time, or was restored lately, so the request
+            was not sent.
         """
+        self._check_restored()
         row_key = f"claim/{service}/{key}"
         value = {
             "token": uuid4().hex,
@@ -138,15 +155,47 @@
         while True:
             result = self._write(row_key, expected_version, value, deadline)
             if result.written:
-                return Claim(row_key, value["token"], result.version, digest)
+                return self._accept(row_key, expected_version, value, result.version)
             row = result.value
             if row is None:
                 expected_version = 0
+            elif is_unheld(row) and self._was_claimed(row_key):
+                return ClaimConflict("unknown", None, row["instance"])
             elif row["state"] == NOT_RUN and row["digest"] == digest:
                 expected_version = result.version
             else:
                 return self._conflict(row, digest)
 
+    def _check_restored(self):
+        wait_s = self._accept_after - self._clock.monotonic()
+        if wait_s > 0:
+            message = "the store was restored"
+            raise NotRun(message, "claim", "table", retry_after_s=wait_s)
+
+    def _was_claimed(self, row_key):
+        """Return whether a claim on a key is known that the store should have."""
+        now = self._clock.monotonic()
+        elsewhere = self._codes is not None and self._codes.claimed_elsewhere(
+            row_key, now
+        )
+        return elsewhere or self._recent.may_have_run(row_key)
+
+    def _accept(self, row_key, expected_version, value, version):
+        """Return the claim that was written, unless the store lost an earlier one."""
+        try:
+            self._check_restored()
+        except NotRun:
+            self._spawn_tombstone(row_key, expected_version, value)
+            raise
+        claim = Claim(row_key, value["token"], version, value["digest"])
+        if expected_version == 0 and self._was_claimed(row_key):
+            self.record_unknown(claim)
+            return ClaimConflict("unknown", None, self._instance)
+        self._recent.record(row_key, value)
+        if self._codes is not None:
+            self._codes.record_own(row_key, self._clock.monotonic())
+        return claim
+
     def record_response(self, claim, response):
         """Record, in the background, the response of a request that ran.
 
@@ -205,6 +254,8 @@
         taking effect later. The second replaces the claim if this attempt made it.
         """
         tombstone = {**value, "state": NOT_RUN}
+        if expected_version == 0:
+            tombstone["held"] = False
         deadline = self._clock.monotonic() + RECORD_TIMEOUT_S
         try:
             result = self._batcher.write(row_key, expected_version, tombstone, deadline)
@@ -229,8 +280,12 @@
             **fields,
         }
         deadline = self._clock.monotonic() + RECORD_TIMEOUT_S
+        self._recent.record(claim.row_key, value)
         try:
-            self._batcher.write(claim.row_key, claim.version, value, deadline)
+            result = self._batcher.write(claim.row_key, claim.version, value, deadline)
+            if not result.written:
+                # The store was restored, and may lack the claim.
+                self._recent.rewrite(claim.row_key, value)
         except StoreUnavailable:
             # The row stays "claimed"; repeated requests get "unknown" later on.
             return
@@ -273,16 +328,16 @@
     return RecordedResponse(record["status"], headers, base64.b64decode(record["body"]))
 
 
-def create_claims(batcher, clock, instance, spawn):
+def create_claims(batcher, clock, instance, spawn, codes=None):
     """Return the claims of one instance.
 
     Parameters
     ----------
-    batcher, clock, instance, spawn
+    batcher, clock, instance, spawn, codes
         As of `Claims`.
 
     Returns
     -------
     Claims
     """
-    return Claims(batcher, clock, instance, spawn)
+    return Claims(batcher, clock, instance, spawn, codes)
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -9,11 +9,16 @@
 - ``late_s``: seconds by which such a write is delayed; it is applied only if its
   preconditions still hold then
 - ``forget``: drop the history of changes once
+- ``restore_s``: restore, once, the state of so many seconds ago, one era higher;
+  versions since then are assigned again, and reads after later ones get 410
+- ``restore_away_s``: seconds for which such a restore rejects all calls
 """
 
 import argparse
 import base64
 import json
+import time
+from collections import deque
 from urllib.parse import parse_qs
 
 import gevent
@@ -38,7 +43,11 @@
     "lose_replies": 0,
     "late_s": 0.0,
     "forget": False,
+    "restore_s": 0.0,
+    "restore_away_s": 0.0,
 }
+COPY_PERIOD_S = 0.1  # between the states that can be restored
+MAX_COPIES = 200
 LOST_REPLY_HANG_S = 30.0  # how long a client waits whose reply is lost
 MAX_PAGE_ROWS = 500
 MAX_LONG_POLL_S = 30.0
@@ -58,11 +67,14 @@
     def __init__(self, address, port):
         self.rows = {}
         self.version = 0
+        self.era = 0
         self.faults = dict(NO_FAULTS)
         self.calls = 0
         self._history = []
         self._dropped_up_to = 0
         self._committed = gevent.event.Event()
+        self._copies = deque(maxlen=MAX_COPIES)  # (moment, version, rows)
+        self._away = False
         self.server = create_server(address, port, self._application)
 
     def start(self):
@@ -98,10 +110,44 @@
             self._dropped_up_to = self.version
             self._history.clear()
             self.faults["forget"] = False
+        if faults.get("restore_s"):
+            self.faults["restore_s"] = 0.0
+            self.restore(faults["restore_s"], self.faults["restore_away_s"])
         self._wake_feeds()
 
+    def restore(self, age_s, away_s=0.0):
+        """Restore an older copy of all rows, and begin the next era.
+
+        Parameters
+        ----------
+        age_s : float
+            Age of the copy in seconds, up to `COPY_PERIOD_S` less.
+        away_s : float, default=0.0
+            Seconds for which all calls are rejected before the copy is served.
+        """
+        cutoff = time.monotonic() - age_s
+        later = [copy for copy in self._copies if copy[0] > cutoff]
+        if later:
+            # The state before the first change since then.
+            self.version, self.rows = later[0][1], dict(later[0][2])
+        self._history = [entry for entry in self._history if entry[0] <= self.version]
+        self._copies.clear()
+        self.era += 1
+        if away_s:
+            self._away = True
+            gevent.spawn_later(away_s, self._return)
+        self._wake_feeds()
+
+    def _return(self):
+        self._away = False
+
     def _application(self, environ, start_response):
-        path = environ["PATH_INFO"]
+        path, send = environ["PATH_INFO"], start_response
+
+        def start_response(status, headers, *args):
+            # Of the moment of the response: the store may be restored during a call.
+            return send(status, [*headers, *self._era_headers()], *args)
+
         if path == "/faults":
             self.set_faults(**read_json(environ))
             return json_response(start_response, 200, self.faults)
@@ -125,8 +171,13 @@
         return json_response(start_response, 404, {})
 
     def _rejects(self, environ):
+        if self._away:
+            return True
         return self.faults["down"] or environ["REMOTE_ADDR"] in self.faults["refuse"]
 
+    def _era_headers(self):
+        return [("Store-Era", str(self.era))] if self.era else []
+
     def _get(self, query):
         first = query.get("from", "")
         found = sorted(
@@ -142,18 +193,24 @@
     def _feed(self, query, environ, start_response):
         after = int(query["after"])
         wait_s = min(MAX_LONG_POLL_S, int(query.get("waitMs", 0)) / 1000)
+        era = self.era
         with gevent.Timeout(wait_s, False):
-            while after >= self._dropped_up_to and not self._changes_since(
-                query["table"], after
+            while (
+                era == self.era
+                and self._has(after)
+                and not self._changes_since(query["table"], after)
             ):
                 if self._rejects(environ):
                     return json_response(start_response, 503, {})
                 self._committed.wait()
-        if after < self._dropped_up_to:
+        if not self._has(after):
             return json_response(start_response, 410, {})
         rows = self._changes_since(query["table"], after)
         return json_response(start_response, 200, self._reply_body(rows))
 
+    def _has(self, after):
+        return self._dropped_up_to <= after <= self.version
+
     def _changes_since(self, table, after):
         newest = {}
         for version, changed_table, key, value in self._history:
@@ -199,6 +256,7 @@
         ]
 
     def _commit(self, changes):
+        self._copy()
         self.version += 1
         for table, part, key, value in changes:
             if value is None:
@@ -208,6 +266,12 @@
             self._history.append((self.version, table, key, value))
         self._wake_feeds()
 
+    def _copy(self):
+        """Keep the state before a change, unless one was kept a moment ago."""
+        now = time.monotonic()
+        if not self._copies or now - self._copies[-1][0] >= COPY_PERIOD_S:
+            self._copies.append((now, self.version, dict(self.rows)))
+
     def _wake_feeds(self):
         committed, self._committed = self._committed, gevent.event.Event()
         committed.set()
