Add the restored store and the endpoints' signals to the soak

The soak did not have the faults of a store that is restored from an older copy, of an endpoint that states in its responses alone that it drains, and of one that asks for no requests. A new check counts the requests of an instance within the time asked for (two at most, from 0.5 s on); the other checks hold during a restore too, but those that excuse disruptions of the whole fleet.

JSON clients return only the headers that their user names, so that responses compare as before.

--- a/quetzalwall/connection/json_client.py
+++ b/quetzalwall/connection/json_client.py
@@ -16,7 +16,7 @@
 
 
 class JsonResponse(NamedTuple):
-    """Status code, decoded body, and headers by lower-case name of a response."""
+    """Status code, decoded body, and the kept headers by lower-case name."""
 
     status: int
     body: object
@@ -38,6 +38,8 @@
         Seconds that a complete call may take.
     size : int, default=8
         Maximum number of connections.
+    kept_headers : frozenset of str, default=frozenset()
+        Headers of responses to return, in lower case.
 
     Attributes
     ----------
@@ -45,8 +47,11 @@
         Length of all bodies sent and received so far.
     """
 
-    def __init__(self, host, port, peer, timeout_s=1.0, size=8):
+    def __init__(
+        self, host, port, peer, timeout_s=1.0, size=8, kept_headers=frozenset()
+    ):
         self.exchanged_bytes = 0
+        self._kept_headers = kept_headers
         self.peer = peer
         self.timeout_s = timeout_s
         self._http = create_client(
@@ -108,7 +113,11 @@
             raise PeerError(str(exc), target, self.peer) from exc
         try:
             decoded = msgspec.json.decode(raw) if raw else None
-            headers = {str(name).lower(): value for name, value in res.items()}
+            headers = {
+                str(name).lower(): str(value)
+                for name, value in res.items()
+                if str(name).lower() in self._kept_headers
+            }
             return JsonResponse(res.status_code, decoded, headers)
         except msgspec.DecodeError as exc:
             raise PeerError("answer is not JSON", target, self.peer) from exc
@@ -124,16 +133,18 @@
         res.release()
 
 
-def create_json_client(host, port, peer, timeout_s=1.0, size=8):
+def create_json_client(
+    host, port, peer, timeout_s=1.0, size=8, kept_headers=frozenset()
+):
     """Return a JSON client of one peer.
 
     Parameters
     ----------
-    host, port, peer, timeout_s, size
+    host, port, peer, timeout_s, size, kept_headers
         See `JsonClient`.
 
     Returns
     -------
     JsonClient
     """
-    return JsonClient(host, port, peer, timeout_s=timeout_s, size=size)
+    return JsonClient(host, port, peer, timeout_s, size, kept_headers)
--- a/quetzalwall/platform/store.py
+++ b/quetzalwall/platform/store.py
@@ -8,6 +8,7 @@
 from quetzalwall.exceptions import PeerError, StoreError, StoreUnavailable
 from quetzalwall.logs import get_logger, log_event
 from quetzalwall.platform.store_era import (
+    ERA_HEADERS,
     combine_version,
     era_of,
     parse_era,
@@ -82,7 +83,9 @@
     """
 
     def __init__(self, host, port, timeout_s=2.0):
-        self._client = create_json_client(host, port, STORE_PEER, timeout_s, size=8)
+        self._client = create_json_client(
+            host, port, STORE_PEER, timeout_s, size=8, kept_headers=ERA_HEADERS
+        )
         self.timeout_s = timeout_s
         self.era = 0
         self.on_new_era = []
--- a/quetzalwall/platform/store_era.py
+++ b/quetzalwall/platform/store_era.py
@@ -9,6 +9,7 @@
 from quetzalwall.logs import get_logger, log_event
 
 __all__ = [
+    "ERA_HEADERS",
     "VERSIONS_PER_ERA",
     "combine_version",
     "era_of",
@@ -16,9 +17,10 @@
     "store_version",
 ]
 
-ERA_HEADERS = ("store-era", "x-quetzalwall-store-era")
+ERA_HEADERS = frozenset(("store-era", "x-quetzalwall-store-era"))
 VERSIONS_PER_ERA = 2**48
 MAX_ERA = 2**15 - 1  # the combined version fits into 63 bits
+MAX_ERA_DIGITS = len(str(MAX_ERA))
 MAX_LOGGED_CHARACTERS = 60
 LOG = get_logger("store")
 
@@ -87,7 +89,7 @@
 
     Parameters
     ----------
-    headers : dict of str to object
+    headers : dict of str to str
         Its headers by lower-case name.
 
     Returns
@@ -95,13 +97,12 @@
     int or None
         None if it names none, or none that is valid; the latter is logged.
     """
-    for name in ERA_HEADERS:
-        if name in headers:
-            text = str(headers[name]).strip()
-            if is_decimal(text) and len(text) <= len(str(MAX_ERA)):
-                era = int(text)
-                if era <= MAX_ERA:
-                    return era
+    eras = []
+    for name in ERA_HEADERS & headers.keys():
+        text = headers[name].strip()
+        if is_decimal(text) and len(text) <= MAX_ERA_DIGITS and int(text) <= MAX_ERA:
+            eras.append(int(text))
+        else:
             value = text[:MAX_LOGGED_CHARACTERS]
             log_event(LOG, "odd-era", "warning", value=value)
-    return None
+    return max(eras, default=None)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -21,6 +21,10 @@
 DEADLINE_S = 2.0  # of each request
 DEADLINE_SLACK_S = 1.5  # allowed beyond the deadline on a busy machine
 LIMIT_WINDOW_S = 4.0
+# From half a second after an endpoint asked an instance for no requests until the end
+# of that time.
+PAUSE_DELAY_S = 0.5
+MAX_REQUESTS_IN_PAUSE = 2
 # Allowed in a window: the factor times what the limit allows, plus the burst.
 LIMIT_FACTOR, LIMIT_BURST = 1.5, 5
 MAX_COLD_PER_S = 4.0 * 1.5 + 5.0  # to a cold endpoint, from all instances together
@@ -101,6 +105,7 @@
         *_check_drains(attempts, draining_since, timeline),
         *_check_deadlines(attempts, timeline),
         *_check_advertised_limits(attempts, endpoints, timeline),
+        *_check_pauses(attempts, endpoints, timeline),
     ]
 
 
@@ -238,6 +243,32 @@
                 )
 
 
+def _check_pauses(attempts, endpoints, timeline):
+    sent = {attempt.request_id: attempt for attempt in attempts}
+    for endpoint in endpoints:
+        for begin, end, seconds in endpoint.pauses:
+            arrivals = {}
+            for at, (request_id, _) in zip(
+                endpoint.arrival_times, endpoint.arrivals, strict=True
+            ):
+                attempt = sent.get(request_id)
+                if attempt is None or _was_disrupted(attempt, timeline, begin):
+                    continue
+                if begin <= at:
+                    arrivals.setdefault(attempt.instance, []).append(at)
+            for instance, times in arrivals.items():
+                if times[0] > end:
+                    continue
+                late = [
+                    at
+                    for at in times
+                    if times[0] + PAUSE_DELAY_S < at < times[0] + seconds
+                ]
+                if len(late) > MAX_REQUESTS_IN_PAUSE:
+                    detail = f"{endpoint.name}: {len(late)} requests from {instance}"
+                    yield Breach("no requests asked for", detail)
+
+
 def _was_disrupted(attempt, timeline, since=None):
     """Return whether a request's instance was disrupted when the request was sent.
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -185,6 +185,7 @@
         self.version = 0
         self.endpoints = {}
         self.drained = {}
+        self._entries = {}
         self.instances = []
         self._instance_count = instance_count
         self._initial_endpoints = endpoint_count
@@ -249,6 +250,15 @@
             gevent.sleep(OLDER_CONFIG_S)
             self._write_configuration(self.version)
 
+    def rewrite_configuration(self):
+        """Write the newest configuration again, after the store was restored."""
+        self._write_configuration(self.version)
+
+    def register_missing(self):
+        """Write the entries again that a restored store lacks or shows as they were."""
+        for name in [*self.endpoints, *self.drained]:
+            self.store.put("servers", name, self._entries[name])
+
     def _write_configuration(self, version):
         rows = [
             route_row("look", "/look/", timeout="1500ms"),
@@ -278,9 +288,13 @@
         self.endpoints[name] = endpoint
         domain = DOMAINS[self._endpoints_added % 3]
         body = entry_body(endpoint.address, domain=domain, coldLeft=cold)
-        self.store.put("servers", name, msgspec.json.encode(body))
+        self._register(name, body)
         return endpoint
 
+    def _register(self, name, body):
+        self._entries[name] = msgspec.json.encode(body)
+        self.store.put("servers", name, self._entries[name])
+
     def drain(self, name):
         """Report an endpoint as draining; it goes on serving.
 
@@ -290,6 +304,5 @@
             The endpoint.
         """
         endpoint = self.endpoints.pop(name)
-        body = entry_body(endpoint.address, state="draining")
-        self.store.put("servers", name, msgspec.json.encode(body))
+        self._register(name, entry_body(endpoint.address, state="draining"))
         self.drained[name] = endpoint
--- a/soak/run.py
+++ b/soak/run.py
@@ -30,6 +30,12 @@
 IDLE_EVICTION_S = 3.0  # after it, some connections have been idle long enough to close
 CONNECT_S = 1.0  # time-out
 STOP_S = 8.0  # time-out of a planned stop, well over the grace period
+COPY_AGE_S = 2.0  # of the copy from which the store is restored
+RESTORE_AWAY_S = 1.0  # for which the store is unavailable then
+REWRITE_AFTER_S = 2.0  # operators write again what the copy lacks
+ENTRY_AFTER_S = 0.5  # endpoints do so earlier
+RESPONSE_WAIT_S = 4.0  # for an endpoint's next response
+PAUSE_S = 3.0  # for which an endpoint asks for no requests
 LIMIT_PER_S = 3.0  # advertised by an endpoint that would get ten times as much
 
 
@@ -185,6 +191,32 @@
         self._behave(endpoint, span_s, limit=str(LIMIT_PER_S))
         endpoint.advertised_limits.append((began, time.monotonic(), LIMIT_PER_S))
 
+    def _restore_store(self, instance, endpoint, span_s):
+        """Restore an older copy; endpoints, then operators, write what is lost."""
+        self.site.store.restore(COPY_AGE_S, RESTORE_AWAY_S)
+        gevent.sleep(RESTORE_AWAY_S + ENTRY_AFTER_S)
+        self.site.register_missing()
+        gevent.sleep(REWRITE_AFTER_S)
+        self.site.rewrite_configuration()
+
+    def _leave(self, instance, endpoint, span_s):
+        """Let an endpoint state in its responses alone that it drains."""
+        if len(self.site.endpoints) < 4 or endpoint.name not in self.site.endpoints:
+            return
+        self.site.drained[endpoint.name] = self.site.endpoints.pop(endpoint.name)
+        endpoint.behaviour["headers"] = ("Server-Leaving: 1",)
+        responses = len(endpoint.responded_ids)
+        with gevent.Timeout(RESPONSE_WAIT_S, False):
+            while len(endpoint.responded_ids) == responses:
+                gevent.sleep(0.02)
+            endpoint.draining_since = time.monotonic()
+
+    def _ask_for_none(self, instance, endpoint, span_s):
+        began = time.monotonic()
+        headers = (f"Retry-After: {PAUSE_S}",)
+        self._behave(endpoint, span_s, shed=True, headers=headers)
+        endpoint.pauses.append((began, time.monotonic(), PAUSE_S))
+
     def _stall_store_connections(self, instance, endpoint, span_s):
         instance.store_proxy.stall_connections()
 
@@ -213,6 +245,7 @@
     "store slow",
     "store loses replies",
     "store drops history",
+    "store restored",
 }
 # All promises hold during these faults; they count as no disruption of an instance.
 NON_DISRUPTIVE_FAULTS = {
@@ -233,6 +266,8 @@
     "endless response headers",
     "endpoints slow",
     "endpoint advertises a limit",
+    "endpoint states that it leaves",
+    "endpoint asks for no requests",
 }
 FAULT_ACTIONS = {  # each is called with the soak, an instance, an endpoint and seconds
     "kill": Soak._kill,
@@ -257,6 +292,9 @@
     "endpoints slow": lambda s, i, e, t: s._behave_all(t, slow_s=0.6),
     "endpoint advertises a limit": Soak._advertise_limit,
     "store connections stalled": Soak._stall_store_connections,
+    "store restored": Soak._restore_store,
+    "endpoint states that it leaves": Soak._leave,
+    "endpoint asks for no requests": Soak._ask_for_none,
     "configure": Soak._configure,
     "older configuration": lambda s, i, e, t: s.site.configure_older(),
     "drain": Soak._drain,
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -36,7 +36,13 @@
 
 
 # Each schedule has each of these once.
-SEPARATE_FAULTS = ("endpoint advertises a limit", "store connections stalled")
+SEPARATE_FAULTS = (
+    "endpoint advertises a limit",
+    "store connections stalled",
+    "store restored",
+    "endpoint states that it leaves",
+    "endpoint asks for no requests",
+)
 SEPARATE_FAULT_S = 8.0  # twice the time after which an advertised limit is checked
 
 
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -31,6 +31,8 @@
         self.name = "ep-1"
         self.draining_since = draining_since
         self.advertised_limits = []
+        self.pauses = []
+        self.arrivals, self.arrival_times = [], []
         self.runs = runs
 
 
@@ -57,6 +59,20 @@
     return {b.promise for b in find_breaches(attempts, endpoints, timeline)}
 
 
+# A check that never finds anything would hide that an endpoint's request is ignored.
+def test_requests_within_the_time_that_an_endpoint_asks_for_are_found():
+    endpoint, attempt = _Endpoint(), _attempt(503, "look")
+    endpoint.pauses.append((attempt.sent, attempt.sent + 9.0, 3.0))
+    for delay_s in (0.0, 0.4, 1.0, 2.0, 3.1):
+        endpoint.arrivals.append(("r1", {}))
+        endpoint.arrival_times.append(attempt.sent + delay_s)
+    assert not find_breaches([attempt], [endpoint], Timeline([], []))
+    endpoint.arrivals.append(("r1", {}))
+    endpoint.arrival_times.append(attempt.sent + 2.9)
+    found = find_breaches([attempt], [endpoint], Timeline([], []))
+    assert [breach.promise for breach in found] == ["no requests asked for"]
+
+
 def test_each_kind_of_breach_is_found():
     assert _breached([_attempt(200)], {"r1": 1}) == set()
     assert _breached([_attempt(200)], {"r1": 2}) == {"at most once"}
--- a/standins/platform_endpoint.py
+++ b/standins/platform_endpoint.py
@@ -70,6 +70,9 @@
         Monotonic seconds at which each of them arrived.
     draining_since : float or None
         Monotonic seconds at which the endpoint was reported as draining.
+    pauses : list of (float, float, float)
+        Begin and end, in monotonic seconds, of each span in which it rejected requests
+        and asked for none, and the seconds that it asked for.
     advertised_limits : list of (float, float, float)
         Begin and end, in monotonic seconds, of each span in which the endpoint
         advertised a limit, and the limit in requests a second.
@@ -91,6 +94,7 @@
         self.arrival_times = []
         self.draining_since = None
         self.advertised_limits = []
+        self.pauses = []
         self.cancelled = 0
         self.connections = 0
         self._outstanding = 0
