Take a response without an era to be of the era its call began in

A response under way while another one named a later era was taken to be of the later one. Tests of earlier starts, evacuations, exports and peers of different eras: 14 pass with test_restored_store.

--- a/quetzalwall/platform/store.py
+++ b/quetzalwall/platform/store.py
@@ -323,20 +323,23 @@
 
     def _call(self, method, target, body, timeout_s, accepted=(200,)):
         """Return the response and its era."""
-        step = target.partition("?")[0]
+        step, era = target.partition("?")[0], self.era
         try:
             response = self._client.call(method, target, body, timeout_s=timeout_s)
         except PeerError as exc:
             raise StoreUnavailable(exc.message, step=step, peer=STORE_PEER) from exc
-        era = parse_era(response.headers)
-        self.learn_era(self.era if era is None else era)
+        named_era = parse_era(response.headers)
+        # Without a name it is of the era known when the call began, as another response
+        # may have named a later one since.
+        era = era if named_era is None else named_era
+        self.learn_era(era)
         if response.status == 410:
             raise HistoryGone("history is gone", step=step, peer=STORE_PEER)
         if response.status in (429, 503) or response.status >= 500:
             raise StoreUnavailable(f"status {response.status}", step, STORE_PEER)
         if response.status not in accepted:
             raise StoreError(f"status {response.status}", step=step, peer=STORE_PEER)
-        return response, self.era if era is None else era
+        return response, era
 
 
 def create_store_client(host, port, timeout_s=2.0):
