--- a/quetzalwall/request/claim.py
+++ b/quetzalwall/request/claim.py
@@ -163,6 +163,8 @@
                 return ClaimConflict("unknown", None, row["instance"])
             elif row["state"] == NOT_RUN and row["digest"] == digest:
                 expected_version = result.version
+                if is_unheld(row):
+                    value["held"] = False  # also if this attempt is given up
             else:
                 return self._conflict(row, digest)
 
