--- a/quetzalwall/process/tests/test_restored_store.py
+++ b/quetzalwall/process/tests/test_restored_store.py
@@ -205,3 +205,21 @@
         assert statuses <= {409, 503}
         reply = deployment.send(second, "POST", "/bookings", b"x", key="other")
         assert reply.status == 200
+
+
+# The instance that holds the claim is alive: it has to write it again, since the others
+# forget the codes of claims after a while and new instances never had them.
+def test_a_claim_that_the_copy_lost_is_written_again():
+    with small_deployment() as deployment:
+        first, second = deployment.fronts
+        copy = Copy(deployment.store)
+        assert deployment.send(first, "POST", "/bookings", b"x", key="k").status == 200
+        key = ("claims", "", "claim/desk/k")
+        wait_for(lambda: b'"done"' in deployment.store.rows[key][0])
+        copy.restore()
+        assert key not in deployment.store.rows
+        assert deployment.send(second, "POST", "/bookings", b"x", key="k").status == 503
+        wait_for(lambda: b'"done"' in deployment.store.rows.get(key, (b"",))[0])
+        gevent.sleep(3.2)
+        assert deployment.send(second, "POST", "/bookings", b"x", key="k").status == 409
+        assert deployment.run_count("k") == 1
