--- a/quetzalwall/process/cluster/draining_signals.py
+++ b/quetzalwall/process/cluster/draining_signals.py
@@ -42,12 +42,15 @@
     ----------
     endpoints : EndpointTable
         The endpoints.
+    invalidate_routable : callable
+        Takes the name of a service whose usable endpoints have changed.
     monotonic : callable
         Clock in seconds.
     """
 
-    def __init__(self, endpoints, monotonic):
+    def __init__(self, endpoints, invalidate_routable, monotonic):
         self._endpoints = endpoints
+        self._invalidate_routable = invalidate_routable
         self._monotonic = monotonic
         self._stated_at = OrderedDict()
         self._ended_at = OrderedDict()
@@ -122,7 +125,7 @@
     def _apply(self, state, at, source):
         now = self._monotonic()
         state.draining_since, state.draining_known_at = at, now
-        self._endpoints.invalidate_routable(state.entry.service)
+        self._invalidate_routable(state.entry.service)
         log_leaving_stated(state.entry, source, now - at)
 
 
--- a/quetzalwall/process/cluster/endpoint_table.py
+++ b/quetzalwall/process/cluster/endpoint_table.py
@@ -54,7 +54,9 @@
         self._ranks = ObjectRanks()
         self._by_code = {}
         self._expired = set()
-        self.draining_signals = DrainingSignals(self, monotonic)
+        self.draining_signals = DrainingSignals(
+            self, self._invalidate_routable, monotonic
+        )
         self.removal_count = 0
 
     def __len__(self):
@@ -199,10 +201,10 @@
         state.record_cold(entry.cold_s, self._monotonic())
         if old.service != entry.service:
             _discard(self._by_service, old.service, entry.name)
-            self.invalidate_routable(old.service)
+            self._invalidate_routable(old.service)
             self._index(state)
         if returned or old.draining != entry.draining or old.domain != entry.domain:
-            self.invalidate_routable(entry.service)
+            self._invalidate_routable(entry.service)
         if old.draining != entry.draining or old.service != entry.service:
             log_endpoint_change("leaving" if entry.draining else "changed", entry)
 
@@ -241,7 +243,7 @@
         state = self._states.get(name)
         if state is not None and state.registered:
             state.registered, state.grace_until = False, None
-            self.invalidate_routable(state.entry.service)
+            self._invalidate_routable(state.entry.service)
             log_endpoint_change("spoiled", state.entry)
 
     def remaining_grace_s(self, name):
@@ -325,7 +327,7 @@
         for other in at_address.values():
             if other.entry.incarnation <= entry.incarnation:
                 other.wrong_address = True
-                self.invalidate_routable(other.entry.service)
+                self._invalidate_routable(other.entry.service)
         at_address[entry.name] = state
         # A restarted endpoint keeps its position in the order of `_states`.
         self._states[entry.name] = state
@@ -345,23 +347,16 @@
 
     def _index(self, state):
         self._by_service.setdefault(state.entry.service, {})[state.name] = state
-        self.invalidate_routable(state.entry.service)
+        self._invalidate_routable(state.entry.service)
 
     def _unindex(self, state):
         """Remove a state from the indexes by address and by service."""
         entry = state.entry
         _discard(self._by_address, (entry.host, entry.port), entry.name)
         _discard(self._by_service, entry.service, entry.name)
-        self.invalidate_routable(entry.service)
-
-    def invalidate_routable(self, service):
-        """Discard what is derived from the states of a service's endpoints.
+        self._invalidate_routable(entry.service)
 
-        Parameters
-        ----------
-        service : str
-            Name of the service.
-        """
+    def _invalidate_routable(self, service):
         self._routable.pop(service, None)
         self._ranks.clear()
 
--- a/quetzalwall/process/front.py
+++ b/quetzalwall/process/front.py
@@ -102,11 +102,11 @@
         )
         self.memory_budget = create_memory_budget(settings.memory_mb)
         self.metrics = create_front_metrics()
-        self.store = create_store_client(*settings.store, STORE_TIMEOUT_S)
+        self._store = create_store_client(*settings.store, STORE_TIMEOUT_S)
         tree = NO_TREE
         if from_tree:
             tree = create_tree_parts(
-                settings, self.cluster_state, self.store, clock, rng
+                settings, self.cluster_state, self._store, clock, rng
             )
         self.settings_admin, self._batcher, claims = tree
         serving = create_serving(
@@ -117,8 +117,8 @@
         self._watches = {
             table: self._create_watch(table) for table in self.cluster_state.tables
         }
-        recover = partial(recover_restored, self, claims)
-        self.store.on_new_era.append(recover)
+        recover = partial(recover_restored, self, self._store, claims)
+        self._store.on_new_era.append(recover)
         self._configuration_sync = create_configuration_sync(
             self.cluster_state, self._peer_tables.fetch_from, now
         )
@@ -163,7 +163,7 @@
         if self._batcher is not None:
             self._batcher.start()
         self._tasks = [
-            gevent.spawn(register, self.store, self.fleet),
+            gevent.spawn(register, self._store, self.fleet),
             self._open_metrics(),
             repeat(self._tick, TICK_PERIOD_S),
             repeat(self._check_settings, SETTINGS_PERIOD_S),
@@ -207,7 +207,7 @@
         self.stopping = self.fleet.leaving = True
         self._grace.begin(grace_s)
         log_event(LOG, "stopping", in_flight=self.in_flight)
-        gevent.spawn(unregister, self.store, self.fleet)
+        gevent.spawn(unregister, self._store, self.fleet)
         deadline = start + MAX_STOP_FRACTION * grace_s
         gevent.sleep(MIN_STOP_FRACTION * grace_s)
         while self.in_flight and self.clock.monotonic() < deadline:
@@ -242,7 +242,7 @@
         for server in self._servers.values():
             server.stop(timeout=0)
         self.endpoints.close()
-        self.store.close()
+        self._store.close()
         self._stopped.set()
 
     def reload(self):
@@ -266,11 +266,11 @@
     def _create_watch(self, table):
         def on_rows(rows, complete, after_outage):
             # Another instance may have read the restored store before this one.
-            self.store.learn_era(era_of(rows.version))
+            self._store.learn_era(era_of(rows.version))
             self.cluster_state.apply(table, rows, complete, after_outage)
 
         return create_table_watch(
-            self.store,
+            self._store,
             table,
             on_rows,
             lambda after: self._peer_tables.fetch(table, after),
@@ -308,7 +308,7 @@
         dict of (str, str) to int
             By kind and distance, as of `TrafficMeter`; the store's is unknown.
         """
-        return self.traffic.totals | {("store", "unknown"): self.store.exchanged_bytes}
+        return self.traffic.totals | {("store", "unknown"): self._store.exchanged_bytes}
 
     def _log_traffic(self):
         totals = sorted(self.exchanged_bytes().items())
--- a/quetzalwall/process/restored_store.py
+++ b/quetzalwall/process/restored_store.py
@@ -7,13 +7,15 @@
 __all__ = ["recover_restored"]
 
 
-def recover_restored(front, claims, era, first):
+def recover_restored(front, store, claims, era, first):
     """Write again, in the background, what this system wrote and the copy may lack.
 
     Parameters
     ----------
     front : Front
         The instance.
+    store : StoreClient
+        The store.
     claims : Claims or None
         Claims of this instance; None if requests carry no idempotency keys.
     era : int
@@ -26,6 +28,6 @@
         claims.begin_era()
     if first or front.stopping:
         return
-    gevent.spawn(register, front.store, front.fleet)
+    gevent.spawn(register, store, front.fleet)
     if front.settings_admin is not None:
         gevent.spawn(front.settings_admin.restore)
--- a/quetzalwall/process/storage/tree_restore.py
+++ b/quetzalwall/process/storage/tree_restore.py
@@ -2,7 +2,7 @@
 
 import gevent
 
-from quetzalwall.exceptions import StoreError
+from quetzalwall.exceptions import StoreError, StoreUnavailable
 from quetzalwall.logs import get_logger, log_event
 from quetzalwall.version.tree import HEAD_KEY, team_key
 
@@ -33,10 +33,16 @@
     Raises
     ------
     StoreUnavailable
-        No response arrived.
+        No response arrived, or another writer has damaged the row with the versions.
     """
     row = table.read([HEAD_KEY])[HEAD_KEY]
-    version = row.value["version"] if row.value else 0
+    version = 0
+    if row.value is not None:
+        version = row.value.get("version") if isinstance(row.value, dict) else None
+        if not isinstance(version, int):
+            raise StoreUnavailable(
+                "head of the settings is malformed", "restore", "table"
+            )
     if version >= tree.version:
         return True
     head = {"version": tree.version, "teams": tree.team_versions, "token": ""}
