--- a/quetzalwall/connection/dialect.py
+++ b/quetzalwall/connection/dialect.py
@@ -94,6 +94,13 @@
         together; None if there is none.
     malformed_limit : str, default=""
         Value of an advertised limit that cannot be parsed.
+    draining : bool, default=False
+        Whether the endpoint states that it is draining.
+    pause_s : float or None, default=None
+        Seconds for which the endpoint asks this instance for no requests; None if it
+        does not.
+    odd_pause : str, default=""
+        Value of such a request that was bounded or cannot be parsed.
     """
 
     request_id: str | None
@@ -107,6 +114,9 @@
     implies_not_run: bool = False
     limit_per_s: float | None = None
     malformed_limit: str = ""
+    draining: bool = False
+    pause_s: float | None = None
+    odd_pause: str = ""
 
 
 class Dialect(NamedTuple):
--- a/quetzalwall/process/cluster/endpoint_state.py
+++ b/quetzalwall/process/cluster/endpoint_state.py
@@ -2,11 +2,10 @@
 
 import math
 from collections import OrderedDict
-from functools import partial
 
-from quetzalwall.connection.endpoint_client import create_endpoint_client
+from quetzalwall.process.cluster.endpoint_log import log_odd_pause, log_pause
 
-__all__ = ["EndpointState", "create_endpoint_state"]
+__all__ = ["EndpointState"]
 
 SLOWNESS_DECAY_S = 0.6  # about as long as a noisy neighbour stays
 MIN_AVOID_S = 0.5
@@ -16,6 +15,9 @@
 MAX_RECENT_OBJECTS = 64  # an endpoint's cache size is learned separately
 COLD_MARGIN_S = 0.5  # the endpoint may regard itself as cold a little longer
 SHED_AVOID_S = 0.15  # a full endpoint frees a slot about as often
+# For which an instance avoids an endpoint that asked another one for no requests; two
+# reports between regions.
+OVERLOAD_AVOID_S = 0.5
 
 
 class EndpointState:
@@ -55,6 +57,16 @@
         The limit that it advertises, or advertised until a while ago.
     malformed_limit : str
         What its last response contained in place of a valid limit; empty otherwise.
+    draining_since : float or None
+        Monotonic seconds at which this start of it stated that it is draining.
+    draining_known_at : float
+        Monotonic seconds at which this instance learned that.
+    on_draining : callable or None
+        Called with the state when a response states that it is draining.
+    paused_until : float
+        Monotonic seconds until which it asks this instance for no requests.
+    pause_stated_at : float
+        Monotonic seconds of its last response that asked so.
     """
 
     def __init__(self, entry, region, client, now):
@@ -72,6 +84,12 @@
         self.recent_objects = OrderedDict()
         self.advertised_limit = None
         self.malformed_limit = ""
+        self.draining_since = None
+        self.draining_known_at = -math.inf
+        self.on_draining = None
+        self.paused_until = -math.inf
+        self.pause_stated_at = -math.inf
+        self._odd_pause = ""
         self._slowness = 1.0
         self._slowness_at = -math.inf
         self._slowness_own = False
@@ -90,12 +108,40 @@
     def usable(self):
         """Return whether it is registered, not draining and at its own address.
 
+        Its own statement that it is draining counts more than its entry.
+
         Returns
         -------
         bool
         """
+        draining = self.entry.draining or self.draining_since is not None
         at_address = not self.wrong_address and not self.superseded
-        return self.registered and not self.entry.draining and at_address
+        return self.registered and not draining and at_address
+
+    def observe_response(self, metadata, now):
+        """Record what any response from its address states, also one to be discarded.
+
+        Parameters
+        ----------
+        metadata : ResponseMetadata
+            Metadata of the response. One that is not authentic, or from another
+            endpoint at the address, is ignored.
+        now : float
+            Monotonic seconds.
+        """
+        if metadata.misdirected or not metadata.authentic:
+            return
+        if metadata.draining and self.on_draining is not None:
+            self.on_draining(self)
+        if metadata.odd_pause and metadata.odd_pause != self._odd_pause:
+            log_odd_pause(self.name, metadata.odd_pause)
+        self._odd_pause = metadata.odd_pause
+        if metadata.pause_s:
+            if now >= self.paused_until:
+                log_pause(self.entry, metadata.pause_s)
+            self.pause_stated_at = now
+            # An earlier response may have asked for longer.
+            self.paused_until = max(self.paused_until, now + metadata.pause_s)
 
     def avoided(self, now):
         """Return whether it failed or shed requests lately and should get none for now.
@@ -328,6 +374,16 @@
         self._avoid_until = now + self._avoid_s
         self._avoid_s = min(MAX_AVOID_S, 2 * self._avoid_s)
 
+    def record_overload(self, at):
+        """Record that it asked another instance for no requests.
+
+        Parameters
+        ----------
+        at : float
+            Monotonic seconds of that response.
+        """
+        self._avoid_until = max(self._avoid_until, at + OVERLOAD_AVOID_S)
+
     def record_shed(self, now):
         """Record that it shed a request because it is full.
 
@@ -337,36 +393,3 @@
             Monotonic seconds.
         """
         self._avoid_until = max(self._avoid_until, now + SHED_AVOID_S)
-
-
-def create_endpoint_state(
-    entry, region, parse_response, monotonic, connection_limiter, traffic=None
-):
-    """Return the state of a newly registered endpoint.
-
-    Parameters
-    ----------
-    entry : EndpointEntry
-        Its entry in the registry.
-    region : str
-        Region of its failure domain.
-    parse_response : callable
-        Takes status and headers of a response; returns its `ResponseMetadata`.
-    monotonic : callable
-        Clock in seconds.
-    connection_limiter : ConnectionLimiter
-        Limits the connections to all endpoints together.
-    traffic : TrafficMeter, default=None
-        Counts the bytes exchanged with it; None counts none.
-
-    Returns
-    -------
-    EndpointState
-    """
-    client = create_endpoint_client(
-        entry.name, entry.host, entry.port, parse_response, monotonic
-    )
-    client.limiter = connection_limiter
-    if traffic is not None:
-        client.count_bytes = partial(traffic.record, region=region, domain=entry.domain)
-    return EndpointState(entry, region, client, monotonic())
--- a/quetzalwall/process/cluster/tests/test_endpoint_table.py
+++ b/quetzalwall/process/cluster/tests/test_endpoint_table.py
@@ -2,6 +2,7 @@
 
 import random
 
+from quetzalwall.process.cluster.draining_signals import incarnation_code
 from quetzalwall.process.cluster.endpoint_table import create_endpoint_table
 from quetzalwall.process.self_watch import resident_bytes
 from quetzalwall.tests.platform_fixtures import ManualClock
@@ -61,6 +62,8 @@
     def __init__(self, table):
         self.order = []  # names, the endpoint registered last at the end
         self.misdirected = set()
+        # Starts of endpoints that were removed while they were draining.
+        self.draining_starts = set()
         self.services = None
         self._table = table
 
@@ -85,6 +88,8 @@
         state = self._table.get(name)
         if not state.registered or state.entry.draining or name in self.misdirected:
             return False
+        if incarnation_code(state.entry) in self.draining_starts:
+            return False
         later = self.order[self.order.index(name) + 1 :]
         return not any(
             other in later
@@ -112,6 +117,8 @@
             after_outage = rng.random() < 0.5
             if not (after_outage and state.registered and not state.entry.draining):
                 model.leave(name)
+                if state.entry.draining and state.entry.incarnation:
+                    model.draining_starts.add(incarnation_code(state.entry))
             table.remove(name, after_outage)
         elif action == 1:
             table.set_evacuated({"a"} if rng.random() < 0.5 else set(), lambda _: 1.0)
