--- a/quetzalwall/process/tests/test_restored_store.py
+++ b/quetzalwall/process/tests/test_restored_store.py
@@ -67,6 +67,37 @@
         wait_for(lambda: versions(site) == [3, 3, 3])
 
 
+# A copy that is older than a revocation contains the key again.
+def test_a_revoked_key_that_the_copy_gives_back_grants_no_access():
+    with running_site(fronts=2) as site, ExitStack() as stack:
+
+        def write(version, *keys):
+            tenants = {"columns": ["name", "apiKeys"], "rows": [["acme", [*keys]]]}
+            site.write_config(config_body(version) | {"tenants": tenants})
+
+        def statuses():
+            fields = {"X_Quetzalwall_Credential": "key-1"}
+            return [site.get("/look/1", n, **fields)[0] for n in (0, 1)]
+
+        write(2, "key-1", "key-2")
+        wait_for(lambda: statuses() == [200, 200])
+        copy = Copy(site.store)
+        write(3, "key-2")
+        wait_for(lambda: statuses() == [401, 401])
+        copy.restore()
+        wait_for_era(site)
+        assert statuses() == [401, 401]
+        site.fronts[1].close()
+        site.fronts[1] = start_front(stack, site, 1)
+        wait_for(lambda: versions_or_none(site) == [3, 3], 3.0)
+        assert statuses() == [401, 401]
+
+
+def versions_or_none(site):
+    found = [front.cluster_state.configuration() for front in site.fronts]
+    return [cfg and cfg.version for cfg in found]
+
+
 # What this system wrote is lost in the copy: other instances could not be found.
 def test_an_instance_registers_again():
     with running_site(fronts=2) as site:
