--- a/quetzalwall/process/cluster/claim_codes.py
+++ b/quetzalwall/process/cluster/claim_codes.py
@@ -15,8 +15,9 @@
 # A copy is some seconds old, and callers repeat requests for longer than that.
 KEPT_S = 600.0
 MAX_CODES = 20_000  # of all instances; the oldest are discarded
-# For which each report contains a claim: several reports, as one may be lost.
-REPEAT_S = 1.5
+# For which each report contains a claim: several reports, as one may be lost, and at
+# least one in a large fleet, where peers of other regions get one each 2 s.
+REPEAT_S = 2.5
 MAX_CODES_PER_REPORT = 300  # the latest; more could exceed a datagram
 
 
