Ignore proofs of an earlier era of the store for the freshness of keys

Cause: versions of a restored store compare as later than those before, so a peer's proof from before the restore counted for an instance that had read only the copy, which may lack a revocation that the proof covers.

Change: a proof counts only if its version is of the era of the applied table.

Result: the new test fails without the check; 582 tests of connection, platform, request, process/cluster, process/storage and version pass.

--- a/quetzalwall/process/cluster/freshness.py
+++ b/quetzalwall/process/cluster/freshness.py
@@ -8,6 +8,7 @@
 import math
 
 from quetzalwall.logs import get_logger, log_event
+from quetzalwall.platform.store_era import era_of
 
 __all__ = ["Freshness", "create_freshness"]
 
@@ -202,10 +203,11 @@
         at = min(self._drained_at, built_at) - age_s
         if at <= self._as_of:
             return
-        if self._applied is not None and version <= self._applied:
-            self._as_of = at
-        else:
+        if self._applied is None or version > self._applied:
             self._unapplied = at, version
+        elif era_of(version) == era_of(self._applied):
+            # A restored store may lack what it had proved to have before.
+            self._as_of = at
 
     def _least_delay_s(self, process_id, delay_s, now):
         """Return the least delay of a process's reports.
--- a/quetzalwall/process/cluster/tests/test_freshness.py
+++ b/quetzalwall/process/cluster/tests/test_freshness.py
@@ -11,6 +11,7 @@
 from quetzalwall.clock import system_clock
 from quetzalwall.platform.settings import Bounds
 from quetzalwall.platform.store import Rows
+from quetzalwall.platform.store_era import combine_version
 from quetzalwall.process.cluster.fleet import LOCAL_DATAGRAMS_PER_S, create_fleet
 from quetzalwall.process.cluster.freshness import (
     DELAY_WINDOW_S,
@@ -102,6 +103,17 @@
     assert math.isclose(freshness.age_s(), 0.3)
 
 
+# What the store had proved before it was restored says nothing about the copy: a
+# restarted instance that reads the copy may lack a revocation that the proof covers.
+def test_a_proof_of_an_earlier_era_of_the_store_does_not_count():
+    freshness, clock = create()
+    freshness.record_applied(combine_version(1, 4))
+    freshness.receive(1, (clock.now * 1000, 300), combine_version(0, 6), clock.now)
+    assert freshness.is_stale()
+    freshness.receive(1, (clock.now * 1000, 300), combine_version(1, 4), clock.now)
+    assert math.isclose(freshness.age_s(), 0.3)
+
+
 # An age that went from peer to peer would be told for ever while all are cut off.
 def test_only_what_the_store_itself_proved_is_told_on():
     freshness, clock = create()
