Add allotments of client accounts over all instances

Nothing limited the requests of an account over all instances together.

A rise in demand is reported at once rather than with the next report; until 0.3 s later the others are taken to have the same rise. Reports carry three numbers for each active account.

--- a/quetzalwall/process/cluster/fleet.py
+++ b/quetzalwall/process/cluster/fleet.py
@@ -65,6 +65,8 @@
         Version of the store up to which each table has been read.
     traffic : TrafficMeter or None
         Counts the bytes of reports; None counts none.
+    allotments : Allotments or None
+        Exchanges the figures of client accounts.
     table_updates : TableUpdates
         What other instances report of the tables.
     """
@@ -75,7 +77,7 @@
         self.reaches_store = True
         self.table_versions = {}
         self.read_versions = {}
-        self.traffic = None
+        self.traffic = self.allotments = None
         self.table_updates = TableUpdates()
         self._port = port
         self._endpoint_stats = EndpointStats(endpoints)
@@ -240,6 +242,8 @@
             self._next_timeout = -math.inf
         peer.last_seen, peer.unresponsive = now, False
         self._endpoint_stats.apply_report(peer, report, now)
+        if self.allotments is not None:
+            self.allotments.receive_report(sender.name, report.accounts, now)
 
     def due_reports(self, now):
         """Return the reports to send now, and count them as sent.
@@ -254,22 +258,18 @@
         list of (PeerReport, list of PeerInfo)
             Each report with its recipients.
         """
-        due = []
+        due, news = [], self.allotments is not None and self.allotments.has_news()
+        phase = endpoint_code(self.own_info.name) / 2**32
         for group in self._report_groups:
-            if now - group.last_sent_at > group.period_s() - MIN_REPORT_PERIOD_S / 2:
+            if group.is_due(now, news):
                 peers = (
                     p for p in self._peers.values() if self._group(p.info) is group
                 )
                 recipients = group.recipients(peers, now)
                 due.append((self._build_report(group, now), recipients))
-                group.last_sent_at = now
-                group.cached.clear()
+                group.record_sent(now, phase)
         return due
 
-    def _peers_of(self, group):
-        region, same = self.own_info.region, group.same_region
-        return [p for p in self._peers.values() if (p.info.region == region) == same]
-
     def peers(self):
         """Return the known other instances.
 
@@ -367,9 +367,8 @@
 
     def _build_report(self, group, now):
         self._sequence += 1
-        in_flight, slowness, advertised_limits = self._endpoint_stats.collect(
-            group.last_sent_at, now
-        )
+        stats = self._endpoint_stats.collect(group.last_sent_at, now)
+        in_flight, slowness, advertised_limits = stats
         return PeerReport(
             self.own_info if group.names_sender(now) else None,
             self._process_id,
@@ -382,6 +381,7 @@
             list(group.cached),
             self.table_updates.confirmation_ages_ms(now),
             advertised_limits,
+            [] if self.allotments is None else self.allotments.own_report(now),
         )
 
 
--- a/quetzalwall/process/cluster/peer_report.py
+++ b/quetzalwall/process/cluster/peer_report.py
@@ -69,6 +69,8 @@
     advertised_limits : list of (int, int, int, int, int)
         Code of an endpoint that advertises a limit, and the figures of
         `AdvertisedLimit.own_report`.
+    accounts : list of (int, int, int, int)
+        Code of an active client account, and the figures of `Allotments.own_report`.
     """
 
     sender: PeerInfo | None
@@ -82,6 +84,7 @@
     cached: list[tuple[int, int]]
     confirmation_ages_ms: dict[str, int] = {}
     advertised_limits: list[tuple[int, int, int, int, int]] = []
+    accounts: list[tuple[int, int, int, int]] = []
 
 
 _DECODER = msgspec.msgpack.Decoder(PeerReport)
--- a/quetzalwall/process/cluster/report_group.py
+++ b/quetzalwall/process/cluster/report_group.py
@@ -5,6 +5,7 @@
 
 __all__ = [
     "LOOKUP_TIMEOUT_S",
+    "MAX_NEWS_WAIT_S",
     "MIN_REPORT_PERIOD_S",
     "NEW_PEER_S",
     "UNRESPONSIVE_AFTER_S",
@@ -15,6 +16,8 @@
 # Peers of other regions act on each other's endpoints a round trip of some 70 ms late
 # in any case.
 MIN_REMOTE_REPORT_PERIOD_S = 0.25
+# Between two reports that are sent early because the demand of an account has risen.
+MAX_NEWS_WAIT_S = 0.3
 PROBE_INTERVAL_S = 1.0  # between reports to an unresponsive peer
 IDENTITY_PERIOD_S = 1.0  # between two reports that name their sender
 NEW_PEER_S = 1.0  # for so long each report to the group of a new peer names its sender
@@ -51,6 +54,7 @@
         self.same_region = same_region
         self.peers = 0
         self.last_sent_at = -math.inf
+        self._news_sent_at = -math.inf
         self.new_peer_until = -math.inf
         self._identified_at = -math.inf
         self.cached = deque(maxlen=MAX_CACHED_PER_REPORT)
@@ -68,6 +72,40 @@
             shortest_s = MIN_REPORT_PERIOD_S
         return max(shortest_s, self.peers / self._max_datagrams_per_s)
 
+    def is_due(self, now, has_news):
+        """Return whether a report is to be sent now.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        has_news : bool
+            Whether the demand of an account has risen, which can't wait for the period.
+
+        Returns
+        -------
+        bool
+        """
+        if has_news and now - self._news_sent_at >= MAX_NEWS_WAIT_S:
+            self._news_sent_at = now
+            return True
+        return now - self.last_sent_at > self.period_s() - MIN_REPORT_PERIOD_S / 2
+
+    def record_sent(self, now, phase):
+        """Record that the report of this moment is sent.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        phase : float
+            From 0 to 1. Instances that start together report at different moments, so
+            that a failure domain without reports is noticed soon.
+        """
+        first = self.last_sent_at == -math.inf
+        self.last_sent_at = now - phase * self.period_s() if first else now
+        self.cached.clear()
+
     def names_sender(self, now):
         """Return whether the report that is sent now names its sender.
 
