Apply the allotments to requests of accounts

A request of an account over its allotment gets 429 with the seconds until capacity is expected, after its body was read and before the first choice. A request that no endpoint runs returns its credit. The log line of the rejection and quetzalwall_account_requests_total name the account.

--- a/quetzalwall/connection/dialect.py
+++ b/quetzalwall/connection/dialect.py
@@ -126,7 +126,8 @@
     response_headers : callable
         From the forwarded headers of an endpoint's response to those for the caller.
     reject : callable
-        From the seconds until a retry, step, reason and peer to the response "not run".
+        From the seconds until a retry, step, reason, peer and status (503 if there is
+        none) to the response "not run".
     fail : callable
         From a status and an `EndpointError` to the response "outcome unknown".
     bad_request : callable
--- a/quetzalwall/connection/product_dialect.py
+++ b/quetzalwall/connection/product_dialect.py
@@ -91,9 +91,9 @@
     return [*headers, (OUTCOME_HEADER, ANSWERED)]
 
 
-def _reject(retry_after_s, step, reason, peer=""):
+def _reject(retry_after_s, step, reason, peer="", status=503):
     headers = [("Retry-After", str(max(1, round(retry_after_s))))]
-    return _own_response(503, NOT_RUN, step, peer, reason, headers)
+    return _own_response(status, NOT_RUN, step, peer, reason, headers)
 
 
 def _fail(status, exc):
--- a/quetzalwall/platform/headers.py
+++ b/quetzalwall/platform/headers.py
@@ -244,8 +244,8 @@
     return host, environ["quetzalwall.target"]
 
 
-def _reject(retry_after_s, step, reason, peer=""):
-    return rejection_response(retry_after_s, reason)
+def _reject(retry_after_s, step, reason, peer="", status=503):
+    return rejection_response(retry_after_s, reason, status)
 
 
 def _fail(status, exc):
--- a/quetzalwall/process/front.py
+++ b/quetzalwall/process/front.py
@@ -246,6 +246,9 @@
         self._settings_signature = _file_signature(self._settings_file)
         self.limits.retry_budget.configure(settings.bounds)
         self.limits.cold_start_limiter.configure(settings.bounds)
+        self.limits.allotments.configure(
+            self.cluster_state.configuration(), settings.bounds
+        )
         self.endpoints.domains = settings.domains
         self.settings = self.settings._replace(
             bounds=settings.bounds, domains=settings.domains, seeds=settings.seeds
@@ -309,6 +312,9 @@
 
     def _apply_configuration(self, cfg):
         self.limits.shifts.configure(cfg.shifts)
+        self.limits.allotments.configure(cfg, self.settings.bounds)
+        accounts = cfg.accounts.by_name if cfg.accounts is not None else ()
+        self.metrics.prune_accounts(accounts)
         routes = [route for routes in cfg.hosts.values() for route in routes]
         self.limits.split.prune({(route.name, route.split) for route in routes})
         self.metrics.prune_routes({route.name for route in routes})
--- a/quetzalwall/process/front_metrics.py
+++ b/quetzalwall/process/front_metrics.py
@@ -23,6 +23,9 @@
         self._failed_attempts = self._counter("attempts_failed", ["service", "kind"])
         self._diversions = self._counter("limited_elsewhere", ["service"])
         self._lookups = self._counter("lookups", [])
+        self._account_requests = self._counter(
+            "account_requests", ["account", "result"]
+        )
         self._dropped = self._counter("dropped", [])
         self._exchanged_bytes = self._counter("exchanged_bytes", ["kind", "distance"])
         self._exported_bytes = {}
@@ -61,6 +64,32 @@
         """
         self._child(self._rejections, route, reason).inc()
 
+    def record_account(self, account, result):
+        """Count a request of a client account.
+
+        Parameters
+        ----------
+        account : str
+            Label.
+        result : str
+            Label: ``"admitted"``, ``"over allotment"`` or ``"fairness"``.
+        """
+        self._child(self._account_requests, account, result).inc()
+
+    def prune_accounts(self, accounts):
+        """Remove the metrics of client accounts that no longer exist.
+
+        Parameters
+        ----------
+        accounts : container of str
+            Names of the accounts of the active configuration.
+        """
+        for key in list(self._children):
+            metric, labels = key
+            if metric is self._account_requests and labels[0] not in accounts:
+                del self._children[key]
+                metric.remove(*labels)
+
     def record_failed_attempt(self, service, kind):
         """Count an attempt that failed.
 
--- a/quetzalwall/process/front_parts.py
+++ b/quetzalwall/process/front_parts.py
@@ -14,6 +14,7 @@
 )
 from quetzalwall.process.cluster.fleet import Fleet, create_fleet
 from quetzalwall.process.cluster.peer_report import PeerInfo
+from quetzalwall.process.limits.allotments import create_allotments
 from quetzalwall.process.limits.cold_start_limiter import create_cold_start_limiter
 from quetzalwall.process.limits.fleet_limits import FleetLimits
 from quetzalwall.process.limits.retry_budget import create_retry_budget
@@ -176,7 +177,9 @@
         create_cold_start_limiter(settings.instance, settings.bounds),
         create_weighted_split(rng),
         create_traffic_shifts(endpoints, fleet, rng, monotonic),
+        create_allotments(settings.instance, fleet.members, rng),
     )
+    fleet.allotments = limits.allotments
     latency = create_latency_model(settings.region)
     limiter = limits.cold_start_limiter
     chooser = create_chooser(endpoints, latency, limiter, fleet, rng)
--- a/quetzalwall/process/limits/fleet_limits.py
+++ b/quetzalwall/process/limits/fleet_limits.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from quetzalwall.process.limits.allotments import Allotments
 from quetzalwall.process.limits.cold_start_limiter import ColdStartLimiter
 from quetzalwall.process.limits.retry_budget import RetryBudget
 from quetzalwall.process.limits.traffic_shifts import TrafficShifts
@@ -23,9 +24,12 @@
         Divides a route's requests between services.
     shifts : TrafficShifts
         Moves requests between regions, within the caps of the shifts.
+    allotments : Allotments
+        Limits the requests of each client account.
     """
 
     retry_budget: RetryBudget
     cold_start_limiter: ColdStartLimiter
     split: WeightedSplit
     shifts: TrafficShifts
+    allotments: Allotments
--- a/quetzalwall/request/request_log.py
+++ b/quetzalwall/request/request_log.py
@@ -117,7 +117,7 @@
     )
 
 
-def log_rejection(metadata, route, reason, retry_after_s):
+def log_rejection(metadata, route, reason, retry_after_s, **figures):
     """Log that a request is rejected before it is sent.
 
     Parameters
@@ -130,6 +130,8 @@
         Why it is rejected.
     retry_after_s : float
         Seconds after which the caller should try again.
+    **figures
+        Further figures of the decision.
     """
     log_event(
         LOG,
@@ -139,6 +141,7 @@
         route=route or "none",
         reason=reason,
         retry_after_s=retry_after_s,
+        **figures,
     )
 
 
--- a/quetzalwall/request/request_server.py
+++ b/quetzalwall/request/request_server.py
@@ -18,6 +18,10 @@
     NotSent,
     OutcomeUnknown,
 )
+from quetzalwall.request.account_admission import (
+    OVER_ALLOTMENT,
+    create_account_admission,
+)
 from quetzalwall.request.attempt_failure import record_attempt_failure
 from quetzalwall.request.choice import STOPPING, Rejection
 from quetzalwall.request.limit_announcement import record_limit_announcement
@@ -91,6 +95,8 @@
         self._limits = limits
         self._metrics = metrics
         self._monotonic = monotonic
+        allotments = limits.allotments
+        self._admission = create_account_admission(allotments, metrics, monotonic)
 
     def serve(self, environ):
         """Return the response to one request.
@@ -119,6 +125,11 @@
         check_caller_connected(req)
         if self._grace.accept_limit_s() == 0:
             return self._reject(req.metadata, req.route.name, "admission", *STOPPING)
+        rejection = self._admission.admit(req)
+        if rejection is not None:
+            wait_s, figures = rejection
+            over = (req.metadata, req.route.name, "admission", OVER_ALLOTMENT, wait_s)
+            return self._reject(*over, 429, **figures)
         self._limits.retry_budget.record_request(req.service, self._monotonic())
         try:
             result = self._serve(req)
@@ -128,6 +139,7 @@
         except gevent.GreenletExit:
             stopped = OutcomeUnknown("the instance stopped", "await", "")
             result = RequestResult(self._dialect.fail(504, stopped), "unknown")
+        self._admission.record_result(req, result)
         self._record_result(req, result)
         return result.response
 
@@ -330,10 +342,12 @@
         )
         log_finish(req, result.outcome, result.response.status, result.endpoint, took_s)
 
-    def _reject(self, metadata, route, step, reason, retry_after_s):
+    def _reject(
+        self, metadata, route, step, reason, retry_after_s, status=503, **figures
+    ):
         self._metrics.record_rejection(route, reason)
-        log_rejection(metadata, route, reason, retry_after_s)
-        return self._dialect.reject(retry_after_s, step, reason)
+        log_rejection(metadata, route, reason, retry_after_s, **figures)
+        return self._dialect.reject(retry_after_s, step, reason, status=status)
 
     def _record_failure(self, req, exc, state):
         self._metrics.record_failed_attempt(req.service, type(exc).__name__)
--- a/quetzalwall/request/response.py
+++ b/quetzalwall/request/response.py
@@ -23,7 +23,7 @@
     body: bytes
 
 
-def rejection_response(retry_after_s, reason):
+def rejection_response(retry_after_s, reason, status=503):
     """Return the response that states that a request was not and will not be run.
 
     Parameters
@@ -32,10 +32,12 @@
         Seconds after which another attempt is worthwhile.
     reason : str
         Why it was rejected.
+    status : int, default=503
+        HTTP status; 429 if the account has used up its allotment.
 
     Returns
     -------
     Response
     """
     headers = [("Retry-After", f"{retry_after_s:.2f}"), ("Content-Type", "text/plain")]
-    return Response(503, headers, f"not run: {reason}\n".encode())
+    return Response(status, headers, f"not run: {reason}\n".encode())
