--- a/quetzalwall/process/limits/allotments.py
+++ b/quetzalwall/process/limits/allotments.py
@@ -252,7 +252,7 @@
         return {
             "per_s": bucket.per_s,
             "burst": bucket.burst,
-            "level": bucket.level,
+            "left": bucket.level,
             "demand_per_s": demand_hundredths / 100,
             "fleet_demand_per_s": bucket.fleet_demand_per_s(),
             "admitted": admitted,
