Divide a service fairly among client accounts under shortage

Where a service could not serve all requests, the queueing limits of the routes decided which were rejected: an account with seven times its usual load took the capacity of all others.

request/fairness.py divides what the service has served lately by rank, then by max-min fairness among accounts, and keeps 0.3 of the average for each account. A request beyond its account's share accepts a quarter of the queueing that others accept, so it is rejected first and at once, as reason=fairness. This applies only if the configuration has accounts.

--- a/benchmarks/cases/allotments.py
+++ b/benchmarks/cases/allotments.py
@@ -7,9 +7,9 @@
 
 TITLE = "allotments of client accounts"
 CONCLUSION = (
-    "Most in any window of 5 s, as a fraction of (rate x 5 + burst) x 1.1 + 20, and the "
-    "requests admitted as a fraction of those that one token bucket would admit. One "
-    "that is over 1 admits some of the overage that the bound allows."
+    "Most in any window of 5 s, as a fraction of (rate x 5 + burst) x 1.1 + 20, and "
+    "the requests admitted as a fraction of those that one token bucket would admit. "
+    "One over 1 admits some of the overage that the bound allows."
 )
 SEEDS_BY_INSTANCE_COUNT = {7: (1, 2, 3), 36: (1, 2), 121: (1,)}
 ALLOTMENTS = ((2, 4), (30, 30), (390, 390))  # requests a second, burst
--- a/quetzalwall/process/front_parts.py
+++ b/quetzalwall/process/front_parts.py
@@ -196,5 +196,6 @@
         metrics,
         grace,
         monotonic,
+        rng,
     )
     return Serving(limits, grace, reader, server)
--- a/quetzalwall/request/account_admission.py
+++ b/quetzalwall/request/account_admission.py
@@ -2,6 +2,7 @@
 
 import gevent
 
+from quetzalwall.request.choice import FAIRNESS, OVERLOAD
 from quetzalwall.request.send_checks import check_caller_connected
 
 __all__ = ["OVER_ALLOTMENT", "AccountAdmission", "create_account_admission"]
@@ -70,6 +71,28 @@
         figures = self._allotments.status(account.name, now) or {}
         return wait_s, {"account": account.name, **figures}
 
+    def explain_rejection(self, req, rejection, over_share):
+        """Return the rejection of a request with its cause, if that is its account.
+
+        Parameters
+        ----------
+        req : Request
+            The request.
+        rejection : Rejection
+            Why no endpoint was chosen.
+        over_share : bool
+            Whether the request is beyond its account's share of the service.
+
+        Returns
+        -------
+        Rejection
+        """
+        if not over_share or rejection.reason != OVERLOAD:
+            return rejection
+        if req.account is not None:
+            self._metrics.record_account(req.account.name, FAIRNESS)
+        return rejection._replace(reason=FAIRNESS)
+
     def record_result(self, req, result):
         """Return the credit of a request that no endpoint has run.
 
--- a/quetzalwall/request/choice.py
+++ b/quetzalwall/request/choice.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-__all__ = ["STOPPING", "Choice", "Rejection"]
+__all__ = ["FAIRNESS", "OVERLOAD", "STOPPING", "Choice", "Rejection"]
 
 STOPPING_RETRY_AFTER_S = 0.05  # another instance can accept the request at once
 
@@ -60,4 +60,7 @@
     retry_after_s: float
 
 
+# Reasons of rejections.
+OVERLOAD = "overload"
+FAIRNESS = "fairness"
 STOPPING = Rejection("stopping", STOPPING_RETRY_AFTER_S)
--- a/quetzalwall/request/endpoint_chooser.py
+++ b/quetzalwall/request/endpoint_chooser.py
@@ -13,7 +13,7 @@
 from quetzalwall.process.cluster.object_ranks import ENDPOINTS_PER_OBJECT
 from quetzalwall.process.limits.share import even_share
 from quetzalwall.request.candidate_sample import sample_candidates
-from quetzalwall.request.choice import STOPPING, Choice, Rejection
+from quetzalwall.request.choice import OVERLOAD, STOPPING, Choice, Rejection
 from quetzalwall.request.latency_model import queueing_delay_s
 from quetzalwall.request.queueing_limits import create_queueing_limits
 
@@ -90,6 +90,7 @@
         tried=(),
         region=None,
         stop_s=math.inf,
+        max_queueing_s=None,
     ):
         """Return the endpoint for a request, or why the request is rejected.
 
@@ -113,6 +114,8 @@
             Region to which a shift moves the request; any if None.
         stop_s : float, default=inf
             Seconds until this instance stops.
+        max_queueing_s : float, default=None
+            Seconds that the request may queue; if None, what its route allows.
 
         Returns
         -------
@@ -142,7 +145,9 @@
                 return choice
         if not self.fits(route, choice, remaining_s, stop_s):
             return STOPPING
-        rejection = self._rejection(cfg, route, service, choice, remaining_s)
+        if max_queueing_s is None:
+            max_queueing_s = self._queueing_limits.max_s(cfg, route, service)
+        rejection = self._rejection(route, choice, remaining_s, max_queueing_s)
         if rejection is not None:
             return rejection
         if choice.state.cold(now):
@@ -250,7 +255,7 @@
             cost_s += CONNECT_PENALTY_S
         return cost_s, cached, reuse_distance, expected_s, queueing_s, slowness
 
-    def _rejection(self, cfg, route, service, best, remaining_s):
+    def _rejection(self, route, best, remaining_s, max_queueing_s):
         """Return the rejection if even the best endpoint can't be used, else None."""
         saving_s = self._latency.work_s(route, best.cached)
         saving_s -= self._latency.min_work_s(route, best.cached)
@@ -258,8 +263,8 @@
         # Even a request with the least work would miss its deadline.
         if best.expected_s - best.slowness * saving_s > remaining_s:
             return Rejection("too late", retry_after_s)
-        if best.queueing_delay_s > self._queueing_limits.max_s(cfg, route, service):
-            return Rejection("overload", retry_after_s)
+        if best.queueing_delay_s > max_queueing_s:
+            return Rejection(OVERLOAD, retry_after_s)
         if best.state.in_flight() >= MAX_REQUESTS_PER_SLOT * best.state.entry.slots:
             return Rejection("full", retry_after_s)
         return None
--- a/quetzalwall/request/queueing_limits.py
+++ b/quetzalwall/request/queueing_limits.py
@@ -1,5 +1,7 @@
 """How long a request may queue at an endpoint without delaying more urgent ones."""
 
+import math
+
 __all__ = ["QueueingLimits", "create_queueing_limits"]
 
 LESS_URGENT_QUEUEING_RATIO = 0.5  # of the shortest target of more urgent routes
@@ -12,6 +14,7 @@
     def __init__(self):
         self._cfg = None
         self._limits_s = {}
+        self._targets_s = {}
 
     def max_s(self, cfg, route, service):
         """Return how long a request may queue.
@@ -33,13 +36,44 @@
         float
             Seconds.
         """
-        if self._cfg is not cfg:
-            self._cfg, self._limits_s = cfg, {}
+        self._follow(cfg)
         key = (route.name, route.rank, service)
         if key not in self._limits_s:
             self._limits_s[key] = _max_queueing_s(cfg, route, service)
         return self._limits_s[key]
 
+    def shortest_target_s(self, cfg, service):
+        """Return the shortest target of the routes that use a service.
+
+        Parameters
+        ----------
+        cfg : Configuration
+            The active configuration.
+        service : str
+            Name of the service.
+
+        Returns
+        -------
+        float
+            Seconds; infinity if no route uses it.
+        """
+        self._follow(cfg)
+        if service not in self._targets_s:
+            self._targets_s[service] = min(
+                (
+                    route.target_s
+                    for routes in cfg.hosts.values()
+                    for route in routes
+                    if any(name == service for name, _ in route.split)
+                ),
+                default=math.inf,
+            )
+        return self._targets_s[service]
+
+    def _follow(self, cfg):
+        if self._cfg is not cfg:
+            self._cfg, self._limits_s, self._targets_s = cfg, {}, {}
+
 
 def _max_queueing_s(cfg, route, service):
     urgent_targets = [
--- a/quetzalwall/request/request_server.py
+++ b/quetzalwall/request/request_server.py
@@ -24,6 +24,7 @@
 )
 from quetzalwall.request.attempt_failure import record_attempt_failure
 from quetzalwall.request.choice import STOPPING, Rejection
+from quetzalwall.request.fairness import create_fairness
 from quetzalwall.request.limit_announcement import record_limit_announcement
 from quetzalwall.request.request import RequestResult, more_severe
 from quetzalwall.request.request_log import (
@@ -70,6 +71,8 @@
         Limits the requests of an instance that is stopping.
     monotonic : callable
         Clock in seconds.
+    rng : random.Random
+        Source of randomness.
     """
 
     def __init__(
@@ -84,6 +87,7 @@
         metrics,
         grace,
         monotonic,
+        rng,
     ):
         self._grace = grace
         self._dialect = dialect
@@ -97,6 +101,7 @@
         self._monotonic = monotonic
         allotments = limits.allotments
         self._admission = create_account_admission(allotments, metrics, monotonic)
+        self._fairness = create_fairness(rng)
 
     def serve(self, environ):
         """Return the response to one request.
@@ -231,15 +236,22 @@
         ctx = (req.cfg, req.route, req.service, req.object_key, remaining_s, now, tried)
         # Only the first attempt has to start while requests are accepted.
         stop_s = self._grace.end - now if tried else self._grace.accept_limit_s()
+        queueing_s = over_share = None
+        if not tried:
+            queueing_s, over_share = self._fairness.max_queueing_s(req, now)
         shift = self._limits.shifts.choose_shift(req.service, now)
         choice = Rejection("no shift", 0.0)
         if shift is not None:
-            choice = self._chooser.choose(*ctx, shift.shift.destination, stop_s)
+            choice = self._chooser.choose(
+                *ctx, shift.shift.destination, stop_s, queueing_s
+            )
         if isinstance(choice, Rejection):
             shift = None
-            choice = self._chooser.choose(*ctx, None, stop_s)
+            choice = self._chooser.choose(*ctx, None, stop_s, queueing_s)
         if isinstance(choice, Rejection):
-            return choice
+            return self._admission.explain_rejection(req, choice, over_share)
+        if not tried:
+            self._fairness.record_accepted(req, now)
         if shift is not None:
             self._limits.shifts.record_move(shift, now)
         if choice.skipped_at_limit:
@@ -354,40 +366,16 @@
         log_failure(req, exc, state.name)
 
 
-def create_request_server(
-    dialect,
-    reader,
-    cluster_state,
-    chooser,
-    latency,
-    limits,
-    claims,
-    metrics,
-    grace,
-    monotonic,
-):
+def create_request_server(*parts):
     """Return the server of callers' requests.
 
     Parameters
     ----------
-    dialect, reader, cluster_state, chooser, latency, limits, claims, metrics, grace
-        As of `RequestServer`.
-    monotonic
+    *parts
         As of `RequestServer`.
 
     Returns
     -------
     RequestServer
     """
-    return RequestServer(
-        dialect,
-        reader,
-        cluster_state,
-        chooser,
-        latency,
-        limits,
-        claims,
-        metrics,
-        grace,
-        monotonic,
-    )
+    return RequestServer(*parts)
