--- a/quetzalwall/process/limits/allotments.py
+++ b/quetzalwall/process/limits/allotments.py
@@ -11,8 +11,9 @@
 REFRESH_S = 0.25  # between two computations of what the other instances may use
 HORIZON_PERIODS = 1.5  # report periods in which the instances spend what is left
 MIN_HORIZON_S = 0.5
-MAX_PERIOD_S = 4.0
+MIN_PERIOD_S, MAX_PERIOD_S = 0.1, 4.0
 PERIOD_MEMORY_S = 20.0  # time constant with which the longest period is forgotten
+FIRST_REPORTS = 5  # from which the usual period is learned
 OVERDUE_PERIODS = 2.5  # one lost report is no sign of a partition
 OVERDUE_EXTRA_S = 0.3
 STALL_S = 1.5  # without a report of this process, which it makes each 0.7 s at most
@@ -23,15 +24,21 @@
 class _Arrivals:
     """When reports arrive, from one other instance or from a failure domain."""
 
-    __slots__ = ("codes", "last_at", "period_s")
+    __slots__ = ("codes", "count", "last_at", "period_s")
 
     def __init__(self, now):
         self.last_at = now
         self.period_s = 0.0
+        self.count = 0
         self.codes = frozenset()
 
     def record(self, now):
         gap_s = now - self.last_at
+        self.count += 1
+        if self.count > FIRST_REPORTS:
+            # An interruption is no usual period; the next one is noticed as soon.
+            usual_s = max(MIN_PERIOD_S, self.period_s)
+            gap_s = min(gap_s, OVERDUE_PERIODS * usual_s)
         period_s = self.period_s * math.exp(-gap_s / PERIOD_MEMORY_S)
         self.period_s = max(min(MAX_PERIOD_S, gap_s), period_s)
         self.last_at = now
