--- a/quetzalwall/process/tests/test_allotments_served.py
+++ b/quetzalwall/process/tests/test_allotments_served.py
@@ -28,13 +28,13 @@
     )
 
 
-def surge(site, duration_s, per_s):
+def surge(site, duration_s, per_s, key=KEY):
     """Return the responses to requests that go to the instances in turn."""
     tasks, start = [], time.monotonic()
     for number in range(int(duration_s * per_s)):
         gevent.sleep(max(0.0, start + number / per_s - time.monotonic()))
         front = number % len(site.fronts)
-        tasks.append(gevent.spawn(site.get, "/look/1", front, **KEY))
+        tasks.append(gevent.spawn(site.get, "/look/1", front, **key))
     gevent.joinall(tasks, raise_error=True)
     return [task.value for task in tasks]
 
@@ -76,3 +76,17 @@
         apply_accounts(site, 2, RATE)
         gevent.sleep(2.0)
         assert {site.get("/look/1", **KEY)[0] for _ in range(100)} == {503}
+
+
+# The queueing limits of the routes reject the requests of all accounts alike.
+def test_an_account_within_its_fair_share_is_served_beside_a_hot_one():
+    with running_site(endpoints=2, work_s=0.2) as site:  # 30 requests a second
+        apply_accounts(site, 2, 0)
+        hot_task = gevent.spawn(surge, site, 10.0, 60.0)
+        gevent.sleep(3.0)  # until the demand is known
+        small = surge(site, 7.0, 6.0, {"X_Quetzalwall_Credential": "key-2"})
+        hot = hot_task.get()
+        served = [sum(r[0] == 200 for r in responses) for responses in (small, hot)]
+        assert served[0] >= 0.85 * len(small)
+        assert served[1] <= 0.6 * len(hot)
+        assert (503, b"not run: fairness\n") in {(r[0], r[2]) for r in hot}
--- a/quetzalwall/request/fairness.py
+++ b/quetzalwall/request/fairness.py
@@ -23,6 +23,9 @@
 LESS_URGENT_QUEUEING_RATIO = 0.75
 OVER_SHARE_QUEUEING_RATIO = 0.3
 FORGET_SERVICE_S = 60.0  # after its last request
+# Of what was served lately; divided into shares. With all, nothing would shorten a
+# queue that requests within the shares have filled, and they would be rejected as well.
+CAPACITY_FRACTION = 0.97
 # Of the fraction of all requests that is served; kept for each account, so that urgent
 # ones don't starve it. The requirement is a quarter.
 MIN_SERVED_RATIO = 0.3
@@ -213,7 +216,10 @@
     service.most_urgent_rank = min((rank for rank, _ in service.uses), default=math.inf)
     demands = {key: use.asked_per_s for key, use in service.uses.items()}
     # The request that is decided now has been asked for and not yet served.
-    shares = fair_shares(demands, service.served_per_s + 1 / SPAN_S)
+    capacity = service.served_per_s + 1 / SPAN_S
+    if capacity < sum(demands.values()):
+        capacity *= CAPACITY_FRACTION
+    shares = fair_shares(demands, capacity)
     for key, use in service.uses.items():
         use.fraction = shares[key] / demands[key]
 
