--- a/benchmarks/allotment_simulation.py
+++ b/benchmarks/allotment_simulation.py
@@ -221,7 +221,7 @@
         for sender in self.instances:
             if (self.step + sender.phase) % TICK_STEPS or now < sender.down_until:
                 continue
-            has_news = sender.allotments.has_news() and now >= sender.news_at
+            has_news = sender.allotments.has_news(now) and now >= sender.news_at
             if has_news:
                 sender.news_at = now + MAX_NEWS_WAIT_S
             for remote in (False, True):
--- a/quetzalwall/process/cluster/fleet.py
+++ b/quetzalwall/process/cluster/fleet.py
@@ -258,7 +258,7 @@
         list of (PeerReport, list of PeerInfo)
             Each report with its recipients.
         """
-        due, news = [], self.allotments is not None and self.allotments.has_news()
+        due, news = [], self.allotments is not None and self.allotments.has_news(now)
         phase = endpoint_code(self.own_info.name) / 2**32
         for group in self._report_groups:
             if group.is_due(now, news):
--- a/quetzalwall/process/cluster/report_group.py
+++ b/quetzalwall/process/cluster/report_group.py
@@ -16,7 +16,7 @@
 # Peers of other regions act on each other's endpoints a round trip of some 70 ms late
 # in any case.
 MIN_REMOTE_REPORT_PERIOD_S = 0.25
-# Between two reports that are sent early because the demand of an account has risen.
+# Between two reports that are sent early because an account has news.
 MAX_NEWS_WAIT_S = 0.3
 PROBE_INTERVAL_S = 1.0  # between reports to an unresponsive peer
 IDENTITY_PERIOD_S = 1.0  # between two reports that name their sender
@@ -80,7 +80,7 @@
         now : float
             Monotonic seconds.
         has_news : bool
-            Whether the demand of an account has risen, which can't wait for the period.
+            Whether the demand of an account has changed, which can't wait.
 
         Returns
         -------
--- a/quetzalwall/process/limits/account_bucket.py
+++ b/quetzalwall/process/limits/account_bucket.py
@@ -9,7 +9,8 @@
 
 # Demand that rises by this factor and this number of requests is reported at once.
 RISE_FACTOR = 1.5
-RISE_REQUESTS = 1.5
+RISE_REQUESTS = 2.0
+FALL_FACTOR = 0.4  # demand that falls below it is reported at once as well
 # Until the other instances have reported such a rise of their own: a tick of 0.1 s,
 # 35 ms between regions, and a read delay of up to 0.1 s.
 RISE_SETTLE_S = 0.3
@@ -62,8 +63,8 @@
         Own admissions since the start of the process.
     risen_at : float
         Monotonic seconds at which the own demand last rose.
-    rise_pending : bool
-        Whether the own demand has risen and should be reported at once.
+    news_pending : bool
+        Whether the own demand has changed and should be reported at once.
     """
 
     def __init__(self, initial_credit, now):
@@ -71,7 +72,7 @@
         self.level = 0.0
         self.peers = {}
         self.admitted_total = 0
-        self.rise_pending = False
+        self.news_pending = False
         self._cap = self._slack = 0.0
         self._window_s = 0.0
         self._admitted = None
@@ -266,11 +267,6 @@
     def own_figures(self, now):
         """Return the figures to report.
 
-        Parameters
-        ----------
-        now : float
-            Monotonic seconds.
-
         Returns
         -------
         (int, int, int)
@@ -281,6 +277,13 @@
         hundredths = round(self._demand.per_s() * 100)
         return hundredths, self.admitted_total, self._admitted.total(now)
 
+    def check_fall(self, now):
+        """Request an early report if the demand has fallen: it may have moved."""
+        self._demand.settle(now)
+        limit = FALL_FACTOR * self._reported_per_s - RISE_REQUESTS / DEMAND_SPAN_S
+        if self._demand.recent_per_s < limit:
+            self.news_pending = True
+
     def mark_reported(self):
         """Remember the demand that all other instances have been sent."""
         self._reported_per_s = self._demand.per_s()
@@ -383,7 +386,7 @@
             return
         if now > self.risen_at + RISE_CALM_S:
             self.risen_at = now
-        self.rise_pending = True
+        self.news_pending = True
         self._reported_per_s = self._demand.recent_per_s
 
     def _wait_s(self, ratio):
--- a/quetzalwall/process/limits/allotments.py
+++ b/quetzalwall/process/limits/allotments.py
@@ -186,17 +186,27 @@
             if bucket.is_active(now):
                 figures.append((code, *bucket.own_figures(now)))
             bucket.mark_reported()
-            bucket.rise_pending = False
+            bucket.news_pending = False
         return figures
 
-    def has_news(self):
-        """Return whether the demand of an account has risen since the last report.
+    def has_news(self, now):
+        """Return whether the demand of an account has changed since the last report.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
 
         Returns
         -------
         bool
         """
-        return any(bucket.rise_pending for bucket in self._buckets.values())
+        for bucket in self._buckets.values():
+            if bucket.is_active(now):
+                bucket.check_fall(now)
+                if bucket.news_pending:
+                    return True
+        return False
 
     def receive_report(self, instance, figures, now):
         """Apply the figures that another instance reports.
--- a/quetzalwall/process/limits/demand_meter.py
+++ b/quetzalwall/process/limits/demand_meter.py
@@ -8,7 +8,7 @@
 # requests; with fewer it would be noise.
 DEMAND_SPAN_S = 0.5
 LOW_DEMAND_SPAN_S = 2.0
-LOW_DEMAND_PER_S = 5.0
+LOW_DEMAND_PER_S = 8.0
 SILENT_PER_S = 0.5  # demand that rises from less begins anew
 MIN_AVERAGE_S = 0.1  # over which the average at the beginning is taken
 
