--- a/quetzalwall/process/cluster/fleet.py
+++ b/quetzalwall/process/cluster/fleet.py
@@ -70,6 +70,8 @@
         Which idempotency keys were claimed lately.
     traffic : TrafficMeter or None
         Counts the bytes of reports; None counts none.
+    allotments : Allotments or None
+        Exchanges the figures of client accounts.
     table_updates : TableUpdates
         What other instances report of the tables.
     """
@@ -82,7 +84,7 @@
         self.read_versions = {}
         self.configuration_version = 0
         self.claim_codes = ClaimCodes()
-        self.traffic = None
+        self.traffic = self.allotments = None
         self.table_updates = TableUpdates(monotonic)
         self._port = port
         self._endpoint_stats = EndpointStats(endpoints)
@@ -246,6 +248,8 @@
             self._next_timeout = -math.inf
         peer.last_seen, peer.unresponsive = now, False
         self._endpoint_stats.apply_report(peer, report, now)
+        if self.allotments is not None:
+            self.allotments.receive_report(sender.name, report.accounts, now)
 
     def due_reports(self, now):
         """Return the reports to send now, and count them as sent.
@@ -260,16 +264,16 @@
         list of (PeerReport, list of PeerInfo)
             Each report with its recipients.
         """
-        due = []
+        due, news = [], self.allotments is not None and self.allotments.has_news(now)
+        phase = endpoint_code(self.own_info.name) / 2**32
         for group in self._report_groups:
-            if now - group.last_sent_at > group.period_s() - MIN_REPORT_PERIOD_S / 2:
+            if group.is_due(now, news):
                 peers = (
                     p for p in self._peers.values() if self._group(p.info) is group
                 )
                 recipients = group.recipients(peers, now)
                 due.append((self._build_report(group, now), recipients))
-                group.last_sent_at = now
-                group.cached.clear()
+                group.record_sent(now, phase)
         return due
 
     def peers(self):
@@ -383,6 +387,7 @@
             operators_proof=self.table_updates.freshness.own_proof(now),
             configuration_version=self.configuration_version,
             claimed=self.claim_codes.own_report(now),
+            accounts=[] if self.allotments is None else self.allotments.own_report(now),
             **figures,
         )
 
--- a/quetzalwall/process/cluster/peer_report.py
+++ b/quetzalwall/process/cluster/peer_report.py
@@ -84,6 +84,8 @@
     claimed : list of int
         Codes of the idempotency keys that the sender claimed lately, as of
         `ClaimCodes`.
+    accounts : list of (int, int, int, int)
+        Code of an active client account, and the figures of `Allotments.own_report`.
     """
 
     sender: PeerInfo | None
@@ -102,6 +104,7 @@
     overloaded: list[tuple[int, int]] = []
     configuration_version: int = 0
     claimed: list[int] = []
+    accounts: list[tuple[int, int, int, int]] = []
 
 
 _DECODER = msgspec.msgpack.Decoder(PeerReport)
--- a/quetzalwall/request/request_log.py
+++ b/quetzalwall/request/request_log.py
@@ -118,7 +118,7 @@
     )
 
 
-def log_rejection(metadata, route, reason, retry_after_s):
+def log_rejection(metadata, route, reason, retry_after_s, **figures):
     """Log that a request is rejected before it is sent.
 
     Parameters
@@ -131,8 +131,11 @@
         Why it is rejected.
     retry_after_s : float
         Seconds after which the caller should try again.
+    **figures
+        Further figures of the decision.
     """
-    fields = {"account": metadata.account} if metadata.account else {}
+    if metadata.account:
+        figures = {"account": metadata.account} | figures
     log_event(
         LOG,
         "refused",
@@ -141,7 +144,7 @@
         route=route or "none",
         reason=reason,
         retry_after_s=retry_after_s,
-        **fields,
+        **figures,
     )
 
 
--- a/quetzalwall/request/request_server.py
+++ b/quetzalwall/request/request_server.py
@@ -19,8 +19,13 @@
     OutcomeUnknown,
 )
 from quetzalwall.request.account_access import STALE_CONFIGURATION, check_access
+from quetzalwall.request.account_admission import (
+    OVER_ALLOTMENT,
+    create_account_admission,
+)
 from quetzalwall.request.attempt_failure import record_attempt_failure
 from quetzalwall.request.choice import STOPPING, Rejection
+from quetzalwall.request.fairness import create_fairness
 from quetzalwall.request.limit_announcement import record_limit_announcement
 from quetzalwall.request.paused_endpoints import paused_s
 from quetzalwall.request.request import RequestResult, more_severe
@@ -70,6 +75,8 @@
         Limits the requests of an instance that is stopping.
     monotonic : callable
         Clock in seconds.
+    rng : random.Random
+        Source of randomness.
     """
 
     def __init__(
@@ -84,6 +91,7 @@
         metrics,
         grace,
         monotonic,
+        rng,
     ):
         self._grace = grace
         self._dialect = dialect
@@ -95,6 +103,9 @@
         self._limits = limits
         self._metrics = metrics
         self._monotonic = monotonic
+        allotments = limits.allotments
+        self._admission = create_account_admission(allotments, metrics, monotonic)
+        self._fairness = create_fairness(rng)
 
     def serve(self, environ):
         """Return the response to one request.
@@ -126,6 +137,11 @@
         check_caller_connected(req)
         if self._grace.accept_limit_s() == 0:
             return self._reject(req.metadata, req.route.name, "admission", *STOPPING)
+        rejection = self._admission.admit(req)
+        if rejection is not None:
+            wait_s, figures = rejection
+            over = (req.metadata, req.route.name, "admission", OVER_ALLOTMENT, wait_s)
+            return self._reject(*over, 429, **figures)
         self._limits.retry_budget.record_request(req.service, self._monotonic())
         try:
             result = self._serve(req)
@@ -135,6 +151,7 @@
         except gevent.GreenletExit:
             stopped = OutcomeUnknown("the instance stopped", "await", "")
             result = RequestResult(self._dialect.fail(504, stopped), "unknown")
+        self._admission.record_result(req, result)
         self._record_result(req, result)
         return result.response
 
@@ -226,15 +243,22 @@
         ctx = (req.cfg, req.route, req.service, req.object_key, remaining_s, now, tried)
         # Only the first attempt has to start while requests are accepted.
         stop_s = self._grace.end - now if tried else self._grace.accept_limit_s()
+        queueing_s = over_share = None
+        if not tried:
+            queueing_s, over_share = self._fairness.max_queueing_s(req, now)
         shift = self._limits.shifts.choose_shift(req.service, now)
         choice = Rejection("no shift", 0.0)
         if shift is not None:
-            choice = self._chooser.choose(*ctx, shift.shift.destination, stop_s)
+            choice = self._chooser.choose(
+                *ctx, shift.shift.destination, stop_s, queueing_s
+            )
         if isinstance(choice, Rejection):
             shift = None
-            choice = self._chooser.choose(*ctx, None, stop_s)
+            choice = self._chooser.choose(*ctx, None, stop_s, queueing_s)
         if isinstance(choice, Rejection):
-            return choice
+            return self._admission.explain_rejection(req, choice, over_share)
+        if not tried:
+            self._fairness.record_accepted(req, now)
         if shift is not None:
             self._limits.shifts.record_move(shift, now)
         if choice.skipped_at_limit:
@@ -349,50 +373,28 @@
         )
         log_finish(req, result.outcome, result.response.status, result.endpoint, took_s)
 
-    def _reject(self, metadata, route, step, reason, retry_after_s):
+    def _reject(
+        self, metadata, route, step, reason, retry_after_s, status=503, **figures
+    ):
         self._metrics.record_rejection(route, reason)
-        log_rejection(metadata, route, reason, retry_after_s)
-        return self._dialect.reject(retry_after_s, step, reason)
+        log_rejection(metadata, route, reason, retry_after_s, **figures)
+        return self._dialect.reject(retry_after_s, step, reason, status=status)
 
     def _record_failure(self, req, exc, state):
         self._metrics.record_failed_attempt(req.service, type(exc).__name__)
         log_failure(req, exc, state.name)
 
 
-def create_request_server(
-    dialect,
-    reader,
-    cluster_state,
-    chooser,
-    latency,
-    limits,
-    claims,
-    metrics,
-    grace,
-    monotonic,
-):
+def create_request_server(*parts):
     """Return the server of callers' requests.
 
     Parameters
     ----------
-    dialect, reader, cluster_state, chooser, latency, limits, claims, metrics, grace
-        As of `RequestServer`.
-    monotonic
+    *parts
         As of `RequestServer`.
 
     Returns
     -------
     RequestServer
     """
-    return RequestServer(
-        dialect,
-        reader,
-        cluster_state,
-        chooser,
-        latency,
-        limits,
-        claims,
-        metrics,
-        grace,
-        monotonic,
-    )
+    return RequestServer(*parts)
