--- a/quetzalwall/tests/daemon_fixture.py
+++ b/quetzalwall/tests/daemon_fixture.py
@@ -17,11 +17,12 @@
 
 
 class Daemon:
-    """A running process and the address at which it serves callers."""
+    """A running process and the addresses of its listeners by their names."""
 
-    def __init__(self, process, output, callers_address):
+    def __init__(self, process, output, addresses):
         self.process = process
-        self.callers_address = callers_address
+        self.addresses = addresses
+        self.callers_address = addresses["callers"]
         self._output = output
 
     def read_output(self):
@@ -51,7 +52,11 @@
                 env=os.environ | environ,
             )
         try:
-            yield Daemon(process, output, (own_address(0), ports[0]))
+            addresses = {
+                name: (own_address(0), int(listen.rpartition(":")[2]))
+                for name, listen in body["listen"].items()
+            }
+            yield Daemon(process, output, addresses)
         finally:
             process.kill()
             process.wait()
