Bound request heads by length, time and memory, and the framing of bodies

Cause: a head could have 100 lines of 64 KB, none of it counted; it could take 60 s for each byte; trailers had no end; input behind a rejected request was read for as long as it came. The end of the stream within a head was taken for its end, so that an incomplete request was run.

Change: RequestHeads counts the heads of all listeners in the memory budget, in pieces before they are read; the oldest incomplete ones give way. Beyond twice maxHeaderBytes (32 KB) a head gets 431, after four times headerTimeout (12 s) 408, without memory 503; nothing of it was run. Both limits are now read from the configuration. Framing of bodies and dropped input are bounded. An idle connection drops what it has read. Metrics, and one log line in 10 s.

--- a/quetzalwall/connection/exchange.py
+++ b/quetzalwall/connection/exchange.py
@@ -59,6 +59,7 @@
         """
         self.__dict__.update(connection.__dict__)
         self._connection = connection
+        self.head = None  # the connection's until the request starts
         self._monotonic = connection.server.pipelining.monotonic
         self.idempotent = False
         self.arrived, self.began = self._monotonic(), None
--- a/quetzalwall/connection/front_server.py
+++ b/quetzalwall/connection/front_server.py
@@ -99,7 +99,7 @@
     start_response(status_line(response.status), headers)
 
 
-def create_front_server(address, application, max_connections, pipelining):
+def create_front_server(address, application, max_connections, pipelining, heads=None):
     """Return the server for callers, not yet started.
 
     Parameters
@@ -112,12 +112,14 @@
         Maximum number of open connections; further ones wait to be accepted.
     pipelining : Pipelining
         What the handler of a connection needs to know of its requests.
+    heads : RequestHeads, default=None
+        As of `create_server`.
 
     Returns
     -------
     NoDelayServer
     """
     limits = HttpLimits(max_connections=max_connections)
-    server = create_server(*address, application, limits, handler=PipelinedHandler)
+    server = create_server(*address, application, limits, PipelinedHandler, heads)
     server.pipelining = pipelining
     return server
--- a/quetzalwall/connection/http_server.py
+++ b/quetzalwall/connection/http_server.py
@@ -1,16 +1,25 @@
 """HTTP servers of a process: limits on connections and input, JSON responses."""
 
+import sys
 import time
+from http.client import HTTPException
 from typing import NamedTuple
 
 import gevent
 import msgspec
 from gevent.pool import Pool
-from gevent.pywsgi import WSGIHandler
+from gevent.pywsgi import MAX_REQUEST_LINE, WSGIHandler
 
+from quetzalwall.connection.body_input import BoundedBody
 from quetzalwall.connection.digits import is_decimal
 from quetzalwall.connection.idle_connections import IdleConnections
+from quetzalwall.connection.memory_budget import MemoryBudget
 from quetzalwall.connection.nodelay import NoDelayServer
+from quetzalwall.connection.request_heads import (
+    HeadRejected,
+    RequestHeads,
+    rejection_bytes,
+)
 from quetzalwall.connection.yielding_socket import YIELD_SLEEP_S
 
 __all__ = [
@@ -20,6 +29,7 @@
     "HttpLimits",
     "QuietHandler",
     "create_server",
+    "head_rejection",
     "json_response",
     "read_json",
     "status_line",
@@ -87,12 +97,54 @@
 
     _pending = None
     _request_count = 0
+    head = None  # of the request that is being read or served
 
     def handle(self):
         """Serve one connection."""
         self.socket.settimeout(STALL_TIMEOUT_S)
         super().handle()
 
+    def handle_one_request(self):
+        """Serve one request.
+
+        Returns
+        -------
+        tuple or bool or None
+            As of the library's handler.
+        """
+        try:
+            return super().handle_one_request()
+        except HeadRejected as exc:  # within the request line
+            return self._handle_client_error(exc)
+        finally:
+            self.close_head()
+            self.drop_request()
+
+    def close_head(self):
+        """Give back the memory of the head that was read last."""
+        if self.head is not None:
+            self.head.close()
+            self.head = None
+
+    def drop_request(self):
+        """Drop what was read of the last request, so that an idle connection is small.
+
+        This also frees the input of its body from reference cycles.
+        """
+        if self.wsgi_input is not None:
+            self.wsgi_input.rfile = None
+        self.headers = self.environ = self.wsgi_input = None
+        self.requestline = self.path = None
+
+    def _handle_client_error(self, ex):
+        status = head_rejection(ex)
+        if status is not None:
+            self.server.heads.record_rejected(status)
+            return str(status), rejection_bytes(status)
+        if isinstance(ex, OSError):
+            return None
+        return super()._handle_client_error(ex)
+
     def log_request(self):
         """Log nothing: the application logs its decision for each request."""
 
@@ -107,11 +159,73 @@
         idle = self.server.idle
         idle.add(self.socket)
         try:
-            return super().read_requestline()
+            if not self.rfile.peek(1):
+                return ""
         except TimeoutError:
             return ""
         finally:
             idle.remove(self.socket)
+        return self.read_head_line()
+
+    def read_head_line(self):
+        """Return the request line, of which the first byte has arrived.
+
+        Returns
+        -------
+        str
+        """
+        self.head = self.server.heads.begin(self.socket, self.rfile, self.server)
+        return self.head.readline(MAX_REQUEST_LINE).decode("latin-1")
+
+    def read_request(self, raw_requestline):
+        """Read the rest of a head.
+
+        Parameters
+        ----------
+        raw_requestline : str
+            The request line.
+
+        Returns
+        -------
+        bool
+            As of the library's handler.
+        """
+        result = super().read_request(raw_requestline)
+        self.head.finish()
+        return result
+
+    def MessageClass(self, *_):  # noqa: N802 (the library's name)
+        """Return the parsed fields of a head.
+
+        Returns
+        -------
+        http.client.HTTPMessage
+        """
+        return super().MessageClass(self.head, 0)
+
+    def get_environ(self):
+        """Return the WSGI environment of the request.
+
+        Returns
+        -------
+        dict
+        """
+        environ = super().get_environ()
+        body_input = self.wsgi_input
+        body_input.rfile = BoundedBody(body_input, self.rfile, self._end_malformed)
+        return environ
+
+    def _end_malformed(self):
+        if not self.close_connection:
+            self.server.heads.record_rejected("framing")
+        self.close_connection = True
+
+    def run_application(self):
+        """Run the application and send its response."""
+        try:
+            super().run_application()
+        finally:
+            self.wsgi_input.rfile.limit_rest()
 
     def yield_if_due(self):
         """Yield to other tasks once every `YIELD_AFTER_REQUESTS` requests.
@@ -139,7 +253,27 @@
             self._pending += data
 
 
-def create_server(address, port, application, limits=None, handler=QuietHandler):
+def head_rejection(exc):
+    """Return the status with which an exception rejects a head.
+
+    Parameters
+    ----------
+    exc : Exception
+        Raised while the head was read.
+
+    Returns
+    -------
+    int or None
+        None if it has another cause.
+    """
+    if isinstance(exc, HeadRejected):
+        return exc.status
+    return 431 if isinstance(exc, HTTPException) else None  # too many fields
+
+
+def create_server(
+    address, port, application, limits=None, handler=QuietHandler, heads=None
+):
     """Return a server that is not yet started.
 
     Parameters
@@ -154,6 +288,8 @@
         Limits on input; the defaults if None.
     handler : type, default=QuietHandler
         Class that handles a connection.
+    heads : RequestHeads, default=None
+        Request heads of the process; without a limit on their memory if None.
 
     Returns
     -------
@@ -170,6 +306,9 @@
         error_log=None,
     )
     server.idle = IdleConnections(time.monotonic)
+    if heads is None:
+        heads = RequestHeads(MemoryBudget(sys.maxsize), time.monotonic)
+    server.heads = heads
     return server
 
 
--- a/quetzalwall/connection/idle_connections.py
+++ b/quetzalwall/connection/idle_connections.py
@@ -4,7 +4,7 @@
 
 from quetzalwall.connection.nodelay import is_readable
 
-__all__ = ["IdleConnections"]
+__all__ = ["IdleConnections", "shortfall_of"]
 
 MIN_IDLE_S = 1.0  # a caller that just connected or got a response may send a request
 SPARE_FRACTION = 0.05  # of a server's connections, kept free for new callers
@@ -63,7 +63,7 @@
         int
             Number of connections shut down.
         """
-        shortfall = max(1, int(pool.size * spare_fraction)) - pool.free_count()
+        shortfall = shortfall_of(pool, spare_fraction)
         if shortfall <= 0:
             return 0
         shut_down = 0
@@ -86,3 +86,21 @@
         except OSError:
             return False
         return True
+
+
+def shortfall_of(pool, spare_fraction=SPARE_FRACTION):
+    """Return how many connections of a server are missing for new callers.
+
+    Parameters
+    ----------
+    pool : gevent.pool.Pool
+        Tasks of the server's connections.
+    spare_fraction : float, default=SPARE_FRACTION
+        Fraction of the server's connections to keep free; at least one.
+
+    Returns
+    -------
+    int
+        Zero or less if there are enough.
+    """
+    return max(1, int(pool.size * spare_fraction)) - pool.free_count()
--- a/quetzalwall/connection/pipelined_handler.py
+++ b/quetzalwall/connection/pipelined_handler.py
@@ -13,17 +13,18 @@
 
 import gevent
 import gevent.event
-from gevent.pywsgi import MAX_REQUEST_LINE, WSGIHandler
+from gevent.pywsgi import MAX_REQUEST_LINE
 
 from quetzalwall.connection.caller_connection import CallerLeft, is_closed
 from quetzalwall.connection.exchange import create_exchange
 from quetzalwall.connection.http_server import (
     STALL_TIMEOUT_S,
-    STATUS_TEXT,
     QuietHandler,
+    head_rejection,
 )
 from quetzalwall.connection.memory_budget import MemoryBudget
 from quetzalwall.connection.pipeline import Admission, create_pipeline
+from quetzalwall.connection.request_heads import rejection_bytes
 
 __all__ = ["PipelinedHandler", "Pipelining"]
 
@@ -34,6 +35,8 @@
 LINGER_S = 1.0  # a caller gets this long to close a connection that was ended here
 CANCEL_S = 0.5  # until cancelled requests have ended
 DISCARD_BYTES = 16 * 1024
+MAX_DISCARDED_BYTES = 256 * 1024  # behind a rejected head; it may have no end
+MAX_DISCARDED_BODY_BYTES = 4 * 1024 * 1024  # of a request that is dropped
 
 
 class Pipelining(NamedTuple):
@@ -74,11 +77,13 @@
         self._changed = None  # set when a request ends, while the task waits for that
         self._awaits_request = self._timed_out = False
         self._linger_timer = None
+        self._input_ended = False  # here, because a head took too long
         try:
             self._serve_requests()
         except OSError:
             self._cancel_running(CallerLeft)
         finally:
+            self.close_head()
             self._cancel_running(gevent.GreenletExit)
             self._close()
 
@@ -87,8 +92,9 @@
         while (exchange := self._read_exchange()) is not None:
             if self._await_admission(exchange) is Admission.DROP:
                 self.server.pipelining.record_dropped(exchange.environ)
+                self.close_head()
                 if exchange.has_body:
-                    self._discard_input()
+                    self._discard_input(MAX_DISCARDED_BODY_BYTES)
                     return
                 continue
             self._start(exchange)
@@ -97,21 +103,21 @@
 
     def _read_exchange(self):
         """Return the next request; None if there is none."""
-        line = self.read_requestline()
-        if not line:
-            self._end_of_requests()
-            return None
-        if len(line) >= MAX_REQUEST_LINE:
-            self._reject_malformed("414 Request URI Too Long")
-            return None
         try:
+            line = self.read_requestline()
+            if not line:
+                self._end_of_requests()
+                return None
+            if len(line) >= MAX_REQUEST_LINE:
+                self._reject_malformed(414)
+                return None
             self.read_request(line)
             return create_exchange(self)
-        except ConnectionError:
+        except OSError:
             raise
         except Exception as exc:
             self._handle_client_error(exc)
-            self._reject_malformed(STATUS_TEXT[400])
+            self._reject_malformed(head_rejection(exc) or 400)
             return None
 
     def read_requestline(self):
@@ -127,13 +133,15 @@
         if not self._running:
             self.server.idle.add(self.socket)
         try:
-            return WSGIHandler.read_requestline(self)
+            if not self.rfile.peek(1):
+                return ""
         except TimeoutError:
             self._timed_out = True
             return ""
         finally:
             self._awaits_request = False
             self.server.idle.remove(self.socket)
+        return self.read_head_line()
 
     def _end_of_requests(self):
         """Handle the end of the stream, or a caller that sends nothing for long."""
@@ -144,13 +152,14 @@
 
     def _reject_malformed(self, status):
         """Respond to malformed input behind the earlier requests, and read no more."""
+        self._input_ended = self.head is not None and self.head.expired is not None
+        self.close_head()
         self._await_change(lambda: not self._running)
         if not self._pipeline.broken and not self._pipeline.closing:
-            head = f"HTTP/1.1 {status}\r\nConnection: close\r\nContent-length: 0\r\n"
-            self.socket.sendall(head.encode() + b"\r\n")
+            self.socket.sendall(rejection_bytes(status))
         self._pipeline.closing = True
         self._end_output()
-        self._discard_input()
+        self._discard_input(MAX_DISCARDED_BYTES)
 
     def _await_admission(self, exchange):
         """Wait until a request may start, or must be dropped; return which."""
@@ -187,13 +196,17 @@
         """
         while not condition():
             self._changed = gevent.event.Event()
-            if not self._changed.wait(POLL_S) and is_closed(self.socket):
+            if self._changed.wait(POLL_S) or self._input_ended:
+                continue
+            if is_closed(self.socket):
                 self._cancel_running(CallerLeft)
                 return
 
     def _start(self, exchange):
         parallel = exchange.idempotent and not exchange.has_body
         self._pipeline.start(exchange, parallel)
+        exchange.head, self.head = self.head, None
+        self.drop_request()
         if exchange.close_connection:
             self._pipeline.closing = True
         if exchange.idempotent:
@@ -236,7 +249,9 @@
         self._pipeline.finish(exchange, exchange.complete)
         self._pipeline.closing |= exchange.close_connection
         self.server.pipelining.memory_budget.release(exchange.extra_bytes)
-        exchange.task = exchange.environ = None  # free of reference cycles
+        exchange.close_head()
+        exchange.task = None  # free of reference cycles
+        exchange.drop_request()
 
     def _cancel_running(self, reason, block=True):
         """Stop the tasks of requests whose responses are not ready or not wanted."""
@@ -264,9 +279,15 @@
             self.socket.shutdown(gevent.socket.SHUT_WR)
         self._linger_timer = gevent.spawn_later(LINGER_S, self._task.kill, block=False)
 
-    def _discard_input(self):
-        while self.rfile.read1(DISCARD_BYTES):
-            pass
+    def _discard_input(self, max_bytes):
+        """Drop input until the caller closes, or the connection is closed here."""
+        while max_bytes > 0:
+            data = self.rfile.read1(DISCARD_BYTES)
+            if not data:
+                return
+            max_bytes -= len(data)
+        while not is_closed(self.socket):
+            gevent.sleep(POLL_S)
 
     def _close(self):
         if self._linger_timer is not None:
--- a/quetzalwall/platform/rows.py
+++ b/quetzalwall/platform/rows.py
@@ -289,6 +289,10 @@
         idle_timeout_s=_duration_or_default(
             record.get("idleTimeout"), Limits().idle_timeout_s
         ),
+        max_header_bytes=int(record.get("maxHeaderBytes", Limits().max_header_bytes)),
+        header_timeout_s=_duration_or_default(
+            record.get("headerTimeout"), Limits().header_timeout_s
+        ),
     )
 
 
--- a/quetzalwall/process/front.py
+++ b/quetzalwall/process/front.py
@@ -13,8 +13,10 @@
     create_front_application,
     create_front_server,
 )
+from quetzalwall.connection.idle_connections import shortfall_of
 from quetzalwall.connection.pipelined_handler import Pipelining
 from quetzalwall.connection.product_dialect import PRODUCT_DIALECT
+from quetzalwall.connection.request_heads import RequestHeads
 from quetzalwall.exceptions import SettingsError
 from quetzalwall.logs import describe_failure, get_logger, log_event
 from quetzalwall.platform.headers import PLATFORM_DIALECT
@@ -50,6 +52,7 @@
 TICK_PERIOD_S = 0.5
 SETTINGS_PERIOD_S = 1.0
 EVICTION_PERIOD_S = 0.25  # callers abandon a connection that waits 1 s to be accepted
+REJECTED_PERIOD_S = 10.0  # a flood of malformed input gets one log line in this time
 TRAFFIC_PERIOD_S = 10.0  # between two log lines of the bytes exchanged so far
 EXPIRY_PERIOD_S = 0.25  # an expired entry removed this late is still within its bound
 STORE_TIMEOUT_S = 1.2
@@ -96,6 +99,7 @@
             self.fleet, settings.listen.peers[1], lambda: self.settings.seeds, rng, now
         )
         self.memory_budget = create_memory_budget(settings.memory_mb)
+        self.heads = RequestHeads(self.memory_budget, now)
         self.metrics = create_front_metrics()
         self._store = create_store_client(*settings.store, STORE_TIMEOUT_S)
         tree = NO_TREE
@@ -115,6 +119,7 @@
         self._servers = {}
         self._tasks = []
         self._removals_seen = 0
+        self._rejected_heads = dict(self.heads.rejected)
 
     @property
     def in_flight(self):
@@ -139,7 +144,7 @@
         callers = max_connections(settings.memory_mb, settings.descriptors, "callers")
         self._servers = {
             "callers": create_front_server(
-                listen.callers, application, callers, pipelining
+                listen.callers, application, callers, pipelining, self.heads
             ),
             **create_interfaces(self),
         }
@@ -159,6 +164,7 @@
             repeat(self._check_settings, SETTINGS_PERIOD_S),
             repeat(self.self_watch.look, CHECK_PERIOD_S),
             repeat(self._make_room, EVICTION_PERIOD_S),
+            repeat(self._log_rejected_heads, REJECTED_PERIOD_S),
             repeat(self.endpoints.drop_lapsed, EXPIRY_PERIOD_S),
             repeat(self._log_traffic, TRAFFIC_PERIOD_S),
         ]
@@ -303,11 +309,21 @@
         log_event(LOG, "traffic", **fields)
 
     def _make_room(self):
+        self.heads.close_overdue()
         for name, server in self._servers.items():
             if ended := server.idle.evict(server.pool):
                 log_event(LOG, "made-room", "warning", listener=name, ended=ended)
+            self.heads.evict(server, shortfall_of(server.pool) - ended)
+
+    def _log_rejected_heads(self):
+        counts = dict(self.heads.rejected)
+        if counts != self._rejected_heads:
+            log_event(LOG, "heads-refused", "warning", **counts)
+            self._rejected_heads = counts
 
     def _apply_configuration(self, cfg):
+        limits = cfg.limits
+        self.heads.configure(limits.max_header_bytes, limits.header_timeout_s)
         self.limits.shifts.configure(cfg.shifts)
         routes = [route for routes in cfg.hosts.values() for route in routes]
         self.limits.split.prune({(route.name, route.split) for route in routes})
--- a/quetzalwall/process/front_interfaces.py
+++ b/quetzalwall/process/front_interfaces.py
@@ -55,7 +55,9 @@
         connections = max_connections(settings.memory_mb, settings.descriptors, name)
         limits = HttpLimits(max_connections=connections)
         address = getattr(settings.listen, name)
-        servers[name] = create_server(*address, partial(handler, front), limits)
+        servers[name] = create_server(
+            *address, partial(handler, front), limits, heads=front.heads
+        )
     return servers
 
 
@@ -191,6 +193,9 @@
     front.metrics.set_gauge("held_bytes", front.memory_budget.used_bytes)
     front.metrics.set_gauge("resident_bytes", front.self_watch.rss_bytes)
     front.metrics.set_gauge("event_loop_held_seconds", front.self_watch.loop_lag_s)
+    front.metrics.set_gauge("incomplete_heads", len(front.heads))
+    front.metrics.set_gauge("head_bytes", front.heads.reserved_bytes)
+    front.metrics.set_rejected_heads(front.heads.rejected)
     front.metrics.set_exchanged_bytes(front.exchanged_bytes())
     raw = front.metrics.render()
     content_type = "text/plain; version=0.0.4; charset=utf-8"
--- a/quetzalwall/process/front_metrics.py
+++ b/quetzalwall/process/front_metrics.py
@@ -26,6 +26,8 @@
         self._dropped = self._counter("dropped", [])
         self._exchanged_bytes = self._counter("exchanged_bytes", ["kind", "distance"])
         self._exported_bytes = {}
+        self._rejected_heads = self._counter("heads_rejected", ["reason"])
+        self._exported_heads = {}
         self._durations = Histogram(
             "quetzalwall_request_seconds",
             "From a request's arrival to its answer",
@@ -98,6 +100,19 @@
             child.inc(size - self._exported_bytes.get((kind, distance), 0))
             self._exported_bytes[kind, distance] = size
 
+    def set_rejected_heads(self, totals):
+        """Set the counters of request heads and bodies that were given up.
+
+        Parameters
+        ----------
+        totals : dict of str to int
+            As of `RequestHeads.rejected`.
+        """
+        for reason, count in totals.items():
+            child = self._child(self._rejected_heads, reason)
+            child.inc(count - self._exported_heads.get(reason, 0))
+            self._exported_heads[reason] = count
+
     def prune_routes(self, routes):
         """Remove the metrics of routes that no longer exist.
 
--- a/quetzalwall/process/tests/test_untrusted_callers.py
+++ b/quetzalwall/process/tests/test_untrusted_callers.py
@@ -71,8 +71,8 @@
 
 @contextmanager
 def running_crowd(address, crowd):
-    """Run callers in a process of their own."""
-    callers, first, again, pause_s = CROWDS[crowd]
+    """Run callers, described as in `CROWDS`, in a process of their own."""
+    callers, first, again, pause_s = crowd
     arguments = [*address, callers, first, again, pause_s]
     command = [sys.executable, "-m", "quetzalwall.tests.caller_crowd"]
     process = subprocess.Popen([*command, *map(str, arguments)])
@@ -84,13 +84,14 @@
 
 
 @contextmanager
-def running_daemon_with_endpoint():
+def running_daemon_with_endpoint(**behaviour):
     """Run a daemon with little memory that can reach its store and one endpoint."""
     with ExitStack() as stack:
         store = create_metadata_store()
         store.start()
         stack.callback(store.close)
         endpoint = create_platform_endpoint("ep-0", work_s=0.01)
+        endpoint.behaviour.update(behaviour)
         endpoint.start()
         stack.callback(endpoint.close)
         site = Site(store, [endpoint], [], None)
@@ -126,7 +127,7 @@
         assert gets_response(run.callers_address, "/look/1", 200)
         before = peak_bytes(pid)
         descriptors = 0
-        with running_crowd(run.addresses[listener], crowd):
+        with running_crowd(run.addresses[listener], CROWDS[crowd]):
             until = time.monotonic() + CROWD_S
             while time.monotonic() < until and run.process.poll() is None:
                 descriptors = max(descriptors, count_descriptors(pid))
--- a/quetzalwall/tests/caller_crowd.py
+++ b/quetzalwall/tests/caller_crowd.py
@@ -2,8 +2,9 @@
 
 Run as ``python -m quetzalwall.tests.caller_crowd HOST PORT CALLERS FIRST AGAIN PAUSE``.
 Each caller sends FIRST, then AGAIN repeatedly; both are texts in hexadecimal with a
-number of repetitions, as in ``61*1000``. A caller whose connection is closed opens
-another one.
+number of repetitions, as `encode_text` writes them. A caller without AGAIN reads what
+it gets; with a PAUSE it reads slowly. A caller whose connection is closed opens another
+one.
 """
 
 import sys
@@ -15,6 +16,8 @@
 
 RECONNECT_PAUSE_S = 0.05
 CONNECT_TIMEOUT_S = 5.0
+READ_BYTES = 65536
+SLOW_READ_BYTES = 1024
 
 
 def encode_text(prefix, text="", times=0):
@@ -33,15 +36,21 @@
     """Send input on one connection after the other, without end."""
     while True:
         try:
-            sock = gevent.socket.create_connection(address, timeout=CONNECT_TIMEOUT_S)
-            with sock:
+            with gevent.socket.socket() as sock:
+                read_bytes = READ_BYTES
+                if pause_s and not again:
+                    read_bytes = SLOW_READ_BYTES
+                    option = gevent.socket.SO_RCVBUF, SLOW_READ_BYTES
+                    sock.setsockopt(gevent.socket.SOL_SOCKET, *option)
+                sock.settimeout(CONNECT_TIMEOUT_S)
+                sock.connect(address)
                 sock.settimeout(None)
                 sock.sendall(first)
                 while again:
                     sock.sendall(again)
                     gevent.sleep(pause_s)
-                while sock.recv(65536):
-                    pass
+                while sock.recv(read_bytes):
+                    gevent.sleep(pause_s)
         except OSError:
             pass
         gevent.sleep(RECONNECT_PAUSE_S)
--- a/quetzalwall/version/model.py
+++ b/quetzalwall/version/model.py
@@ -25,10 +25,16 @@
         Maximum size of a request body in bytes.
     idle_timeout_s : float
         Seconds for which a caller may leave a connection idle.
+    max_header_bytes : int
+        Maximum size of a request head in bytes.
+    header_timeout_s : float
+        Seconds that a request head may take.
     """
 
     max_body_bytes: int = 64 * 1024 * 1024
     idle_timeout_s: float = 15.0
+    max_header_bytes: int = 16 * 1024
+    header_timeout_s: float = 3.0
 
 
 class Service(NamedTuple):
