Cut off the slowest reader where memory for responses is short

Cause: responses that callers read slowly kept their memory, so that further ones failed with 502; on loopback the kernel also took up to 4 MB for each connection, which no budget counted.

Change: where the memory budget has no room for a body or a response, or an account has more than half of it waiting, the slowest reader since its response was ready is reset within its response (connection/slow_readers.py, without a network). Since responses behind a slow one then wait in the process, 2 MiB of them (before: 256 KiB) are read at once; with 256 KiB test_a_caller_that_reads_slowly_gets_all_responses_complete failed. A head is read with fewer calls.

--- a/quetzalwall/connection/exchange.py
+++ b/quetzalwall/connection/exchange.py
@@ -5,15 +5,21 @@
 """
 
 import errno
+import struct
+from contextlib import suppress
 
 import gevent
 import gevent.event
+import gevent.socket
 
-from quetzalwall.connection.http_server import QuietHandler
+from quetzalwall.connection.http_server import STALL_TIMEOUT_S, QuietHandler
 from quetzalwall.connection.pipeline import MAX_WAITING_BYTES
 
 __all__ = ["EXCHANGE_KEY", "Exchange", "create_exchange"]
 
+SEND_BYTES = 16 * 1024  # after which the progress of a response is recorded
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # also frees what the kernel still has to send
+
 # Keys of the WSGI environment.
 SOCKET_KEY = "quetzalwall.socket"
 TARGET_KEY = "quetzalwall.target"
@@ -68,6 +74,7 @@
         self._turn = None
         self.responding = self.complete = False
         self.reservation, self.extra_bytes = None, 0
+        self._delivery = None
         self.response_length = 0
         self.application = self.server.application
         self.environ = self.get_environ()
@@ -180,9 +187,37 @@
 
     def process_result(self):
         """Send the response."""
-        super().process_result()
+        deliveries = self._connection.server.pipelining.deliveries
+        reservation = self.reservation
+        self._delivery = deliveries.add(
+            reservation.reserved_bytes, reservation.account, self._cut_off
+        )
+        try:
+            super().process_result()
+        finally:
+            deliveries.remove(self._delivery)
+            self._delivery = None
         self.complete = True
 
+    def _sendall(self, data):
+        if self._delivery is None or self._pending is not None:
+            super()._sendall(data)
+            return
+        deadline = self._delivery.ready + STALL_TIMEOUT_S
+        view = memoryview(data)
+        for start in range(0, len(data), SEND_BYTES):
+            if self._monotonic() >= deadline:
+                raise TimeoutError("the caller reads too slowly")
+            super()._sendall(view[start : start + SEND_BYTES])
+            self._delivery.sent_bytes = self.response_length
+
+    def _cut_off(self):
+        """Reset the connection, so that the response doesn't look complete."""
+        option = gevent.socket.SOL_SOCKET, gevent.socket.SO_LINGER
+        with suppress(OSError):
+            self.socket._sock.setsockopt(*option, RESET_ON_CLOSE)
+            self.socket._sock.shutdown(gevent.socket.SHUT_RDWR)
+
     def _send_error_response_if_possible(self, error_code):
         # Nothing may be sent out of turn or behind a part of another response.
         if self.headers_sent or not self._connection._pipeline.is_next(self):
--- a/quetzalwall/connection/memory_budget.py
+++ b/quetzalwall/connection/memory_budget.py
@@ -1,8 +1,13 @@
 """Limit on the memory that bodies of requests and responses occupy in a process."""
 
+import gevent
+
+from quetzalwall.connection.yielding_socket import YIELD_SLEEP_S
+
 __all__ = ["Reservation", "MemoryBudget"]
 
 MAX_RESPONSE_FRACTION = 0.25  # of the capacity, so that others are not starved
+MAX_ROUNDS = 40  # in which readers that were cut off give their memory back
 
 
 class MemoryBudget:
@@ -21,12 +26,15 @@
         Requests whose responses have not been sent completely.
     max_response_bytes : int
         Maximum length of one response.
+    make_room : callable
+        Makes requests give up memory; returns whether some becomes free soon.
     """
 
     def __init__(self, capacity):
         self.capacity = capacity
         self.used_bytes = 0
         self.open_requests = 0
+        self.make_room = lambda: False
         self.max_response_bytes = int(capacity * MAX_RESPONSE_FRACTION)
 
     def open_reservation(self, await_room=None):
@@ -89,16 +97,19 @@
     ----------
     reserved_bytes : int
         Bytes reserved now.
+    account : str or None
+        Name of the client account that the request belongs to.
     """
 
     def __init__(self, budget, await_room=None):
         self.budget = budget
+        self.account = None
         self.reserved_bytes = 0
         self._await_room = await_room
         self._is_open = True
 
     def try_reserve(self, size):
-        """Reserve more bytes if the budget has room for them.
+        """Reserve more bytes if the budget has room for them, or others make room.
 
         Parameters
         ----------
@@ -112,10 +123,14 @@
         """
         if self._await_room is not None:
             self._await_room(size)
-        if not self.budget.try_reserve(size):
-            return False
-        self.reserved_bytes += size
-        return True
+        for _ in range(MAX_ROUNDS):
+            if self.budget.try_reserve(size):
+                self.reserved_bytes += size
+                return True
+            if not self.budget.make_room():
+                return False
+            gevent.sleep(YIELD_SLEEP_S)
+        return False
 
     def release(self, size):
         """Give bytes back to the budget.
--- a/quetzalwall/connection/pipeline.py
+++ b/quetzalwall/connection/pipeline.py
@@ -11,7 +11,9 @@
 __all__ = ["Admission", "Pipeline", "create_pipeline"]
 
 MAX_RUNNING = 16  # requests of one connection
-MAX_WAITING_BYTES = 256 * 1024  # of responses of one connection that wait their turn
+# Of responses of one connection that wait their turn. They count in the memory budget;
+# fewer bytes let those behind a slow reader miss their deadlines.
+MAX_WAITING_BYTES = 2 * 1024 * 1024
 
 
 class Admission(Enum):
--- a/quetzalwall/connection/pipelined_handler.py
+++ b/quetzalwall/connection/pipelined_handler.py
@@ -25,6 +25,7 @@
 from quetzalwall.connection.memory_budget import MemoryBudget
 from quetzalwall.connection.pipeline import Admission, create_pipeline
 from quetzalwall.connection.request_heads import rejection_bytes
+from quetzalwall.connection.slow_readers import Deliveries
 
 __all__ = ["PipelinedHandler", "Pipelining"]
 
@@ -54,12 +55,15 @@
         Memory for requests that run beside others.
     monotonic : callable
         Clock in seconds; the one that deadlines are measured with.
+    deliveries : Deliveries
+        Responses that are being sent.
     """
 
     is_idempotent: Callable
     record_dropped: Callable
     memory_budget: MemoryBudget
     monotonic: Callable
+    deliveries: Deliveries
 
 
 class PipelinedHandler(QuietHandler):
--- a/quetzalwall/connection/request_heads.py
+++ b/quetzalwall/connection/request_heads.py
@@ -292,7 +292,10 @@
         if self._lines > MAX_LINES:
             raise HeadRejected(431)
         self._lines += 1
-        pieces, length = [], 0
+        line = self._read_piece(limit)
+        if line.endswith(b"\n"):
+            return line
+        pieces, length = [line], len(line)
         while length < limit:
             piece = self._read_piece(limit - length)
             pieces.append(piece)
@@ -306,9 +309,12 @@
         if rest <= 0:
             raise HeadRejected(431)
         size = min(limit, rest, PIECE_BYTES)
-        self._reserve(size)
+        # Checked here too, since ordinary heads need no reservation.
+        if (self._size + size) * BYTE_COST + self._lines * LINE_COST > INCLUDED_COST:
+            self._reserve(size)
         piece = self._rfile.readline(size)
-        self._check()
+        if self.expired is not None:
+            raise HeadRejected(self.expired)
         if not piece:
             # The library would take the lines so far for a complete head.
             raise ConnectionAbortedError("the connection ended within a head")
@@ -321,10 +327,6 @@
             self._heads.reserve(self, more)
             self.reserved_bytes += more
 
-    def _check(self):
-        if self.expired is not None:
-            raise HeadRejected(self.expired)
-
     def finish(self):
         """Record that the head is complete; its memory stays reserved.
 
@@ -333,7 +335,8 @@
         HeadRejected
             The head was given up meanwhile.
         """
-        self._check()
+        if self.expired is not None:
+            raise HeadRejected(self.expired)
         self._heads.remove(self)
         self._sock = self._rfile = None  # free of reference cycles
         surplus = self.reserved_bytes - self._excess_cost(0)
--- a/quetzalwall/process/front.py
+++ b/quetzalwall/process/front.py
@@ -17,6 +17,7 @@
 from quetzalwall.connection.pipelined_handler import Pipelining
 from quetzalwall.connection.product_dialect import PRODUCT_DIALECT
 from quetzalwall.connection.request_heads import RequestHeads
+from quetzalwall.connection.slow_readers import Deliveries
 from quetzalwall.exceptions import SettingsError
 from quetzalwall.logs import describe_failure, get_logger, log_event
 from quetzalwall.platform.headers import PLATFORM_DIALECT
@@ -100,6 +101,8 @@
         )
         self.memory_budget = create_memory_budget(settings.memory_mb)
         self.heads = RequestHeads(self.memory_budget, now)
+        self.deliveries = Deliveries(lambda: self.memory_budget.capacity, now)
+        self.memory_budget.make_room = self.deliveries.make_room
         self.metrics = create_front_metrics()
         self._store = create_store_client(*settings.store, STORE_TIMEOUT_S)
         tree = NO_TREE
@@ -119,6 +122,7 @@
         self._servers = {}
         self._tasks = []
         self._removals_seen = 0
+        self._cut_off = dict(self.deliveries.cut_off)
         self._rejected_heads = dict(self.heads.rejected)
 
     @property
@@ -140,6 +144,7 @@
             self.server.record_dropped,
             self.memory_budget,
             self.clock.monotonic,
+            self.deliveries,
         )
         callers = max_connections(settings.memory_mb, settings.descriptors, "callers")
         self._servers = {
@@ -320,6 +325,9 @@
         if counts != self._rejected_heads:
             log_event(LOG, "heads-refused", "warning", **counts)
             self._rejected_heads = counts
+        if self.deliveries.cut_off != self._cut_off:
+            self._cut_off = dict(self.deliveries.cut_off)
+            log_event(LOG, "slow-readers", "warning", **self._cut_off)
 
     def _apply_configuration(self, cfg):
         limits = cfg.limits
--- a/quetzalwall/process/front_interfaces.py
+++ b/quetzalwall/process/front_interfaces.py
@@ -195,6 +195,8 @@
     front.metrics.set_gauge("event_loop_held_seconds", front.self_watch.loop_lag_s)
     front.metrics.set_gauge("incomplete_heads", len(front.heads))
     front.metrics.set_gauge("head_bytes", front.heads.reserved_bytes)
+    front.metrics.set_gauge("waiting_response_bytes", front.deliveries.waiting_bytes())
+    front.metrics.set_cut_off(front.deliveries.cut_off)
     front.metrics.set_rejected_heads(front.heads.rejected)
     front.metrics.set_exchanged_bytes(front.exchanged_bytes())
     raw = front.metrics.render()
--- a/quetzalwall/process/front_metrics.py
+++ b/quetzalwall/process/front_metrics.py
@@ -27,7 +27,8 @@
         self._exchanged_bytes = self._counter("exchanged_bytes", ["kind", "distance"])
         self._exported_bytes = {}
         self._rejected_heads = self._counter("heads_rejected", ["reason"])
-        self._exported_heads = {}
+        self._cut_off = self._counter("responses_cut_off", ["reason"])
+        self._exported_totals = {}
         self._durations = Histogram(
             "quetzalwall_request_seconds",
             "From a request's arrival to its answer",
@@ -108,10 +109,23 @@
         totals : dict of str to int
             As of `RequestHeads.rejected`.
         """
+        self._export(self._rejected_heads, totals)
+
+    def set_cut_off(self, totals):
+        """Set the counters of responses that were cut off.
+
+        Parameters
+        ----------
+        totals : dict of str to int
+            As of `Deliveries.cut_off`.
+        """
+        self._export(self._cut_off, totals)
+
+    def _export(self, counter, totals):
         for reason, count in totals.items():
-            child = self._child(self._rejected_heads, reason)
-            child.inc(count - self._exported_heads.get(reason, 0))
-            self._exported_heads[reason] = count
+            exported = self._exported_totals.get((counter, reason), 0)
+            self._child(counter, reason).inc(count - exported)
+            self._exported_totals[counter, reason] = count
 
     def prune_routes(self, routes):
         """Remove the metrics of routes that no longer exist.
--- a/quetzalwall/request/request_server.py
+++ b/quetzalwall/request/request_server.py
@@ -115,6 +115,8 @@
             req = self._reader.read(environ)
         except Refused as exc:
             return self._reject(exc.metadata, exc.route, "admission", *exc.rejection)
+        if req.account is not None:
+            req.reservation.account = req.account.name
         # The caller may have disconnected before this process read the request.
         check_caller_connected(req)
         if self._grace.accept_limit_s() == 0:
