--- a/quetzalwall/process/front_metrics.py
+++ b/quetzalwall/process/front_metrics.py
@@ -29,6 +29,9 @@
         self._dropped = self._counter("dropped", [])
         self._exchanged_bytes = self._counter("exchanged_bytes", ["kind", "distance"])
         self._exported_bytes = {}
+        self._rejected_heads = self._counter("heads_rejected", ["reason"])
+        self._cut_off = self._counter("responses_cut_off", ["reason"])
+        self._exported_totals = {}
         self._durations = Histogram(
             "quetzalwall_request_seconds",
             "From a request's arrival to its answer",
@@ -127,6 +130,32 @@
             child.inc(size - self._exported_bytes.get((kind, distance), 0))
             self._exported_bytes[kind, distance] = size
 
+    def set_rejected_heads(self, totals):
+        """Set the counters of request heads and bodies that were given up.
+
+        Parameters
+        ----------
+        totals : dict of str to int
+            As of `RequestHeads.rejected`.
+        """
+        self._export(self._rejected_heads, totals)
+
+    def set_cut_off(self, totals):
+        """Set the counters of responses that were cut off.
+
+        Parameters
+        ----------
+        totals : dict of str to int
+            As of `Deliveries.cut_off`.
+        """
+        self._export(self._cut_off, totals)
+
+    def _export(self, counter, totals):
+        for reason, count in totals.items():
+            exported = self._exported_totals.get((counter, reason), 0)
+            self._child(counter, reason).inc(count - exported)
+            self._exported_totals[counter, reason] = count
+
     def prune_routes(self, routes):
         """Remove the metrics of routes that no longer exist.
 
--- a/quetzalwall/request/request_server.py
+++ b/quetzalwall/request/request_server.py
@@ -133,6 +133,8 @@
         except UnknownKey as exc:
             self._metrics.record_rejection(exc.route, exc.message)
             raise
+        if req.account is not None:
+            req.reservation.account = req.account.name
         # The caller may have disconnected before this process read the request.
         check_caller_connected(req)
         if self._grace.accept_limit_s() == 0:
