Move the attempts at endpoints into a module of their own

Change: `request/attempts.py` sends a request to one endpoint and records what its response tells (`Attempts.send`); the request server decides on attempts, retries and rejections. Behaviour is unchanged.

The 72 tests of `quetzalwall.request` and `quetzalwall.process.tests.test_front` pass.

--- a/quetzalwall/request/request_server.py
+++ b/quetzalwall/request/request_server.py
@@ -6,7 +6,6 @@
 import gevent
 
 from quetzalwall.connection.caller_connection import CallerLeft
-from quetzalwall.connection.endpoint_request import EndpointRequest
 from quetzalwall.connection.http_server import BadRequest
 from quetzalwall.exceptions import (
     ConfigurationStale,
@@ -18,15 +17,14 @@
     NotSent,
     OutcomeUnknown,
 )
-from quetzalwall.request.account_access import STALE_CONFIGURATION, check_access
+from quetzalwall.request.account_access import STALE_CONFIGURATION
 from quetzalwall.request.account_admission import (
     OVER_ALLOTMENT,
     create_account_admission,
 )
-from quetzalwall.request.attempt_failure import record_attempt_failure
+from quetzalwall.request.attempts import MIN_FAILURE_STATUS, create_attempts
 from quetzalwall.request.choice import STOPPING, Rejection
 from quetzalwall.request.fairness import create_fairness
-from quetzalwall.request.limit_announcement import record_limit_announcement
 from quetzalwall.request.paused_endpoints import paused_s
 from quetzalwall.request.request import RequestResult, more_severe
 from quetzalwall.request.request_log import (
@@ -39,12 +37,11 @@
 from quetzalwall.request.request_reader import Refused, UnknownKey
 from quetzalwall.request.response import Response
 from quetzalwall.request.run_once import run_once
-from quetzalwall.request.send_checks import check_caller_connected, check_may_send
+from quetzalwall.request.send_checks import check_caller_connected
 
 __all__ = ["RequestServer", "create_request_server"]
 
 FAILED_RETRY_S = 0.2  # Retry-After if all attempts failed
-MIN_FAILURE_STATUS = 500  # HTTP status from which on the endpoint has failed
 # Another endpoint would not change the result of the request.
 FINAL_FAILURES = (NoRoom, KeyRevoked, ConfigurationStale)
 MIN_ATTEMPT_S = 0.02  # with less time remaining, another attempt would time out
@@ -99,13 +96,15 @@
         self._claims = claims
         self._cluster_state = cluster_state
         self._chooser = chooser
-        self._latency = latency
         self._limits = limits
         self._metrics = metrics
         self._monotonic = monotonic
         allotments = limits.allotments
         self._admission = create_account_admission(allotments, metrics, monotonic)
         self._fairness = create_fairness(rng)
+        self._attempts = create_attempts(
+            dialect, cluster_state, chooser, latency, grace, monotonic
+        )
 
     def serve(self, environ):
         """Return the response to one request.
@@ -208,7 +207,7 @@
             if req.route.idempotent and not last:
                 abandon = partial(self._fall_back, req, choice.state, tried, fallbacks)
             try:
-                res = self._attempt(req, choice, abandon)
+                res = self._attempts.send(req, choice, abandon)
             except EndpointError as exc:
                 failure = more_severe(failure, exc)
                 self._record_failure(req, exc, choice.state)
@@ -280,76 +279,6 @@
         instances = self._cluster_state.fleet.size()
         return self._limits.retry_budget.try_acquire(req.service, now, instances)
 
-    def _attempt(self, req, choice, should_abandon):
-        check_access(req, self._cluster_state)
-        state = choice.state
-        began = self._monotonic()
-        deadline = min(req.deadline, self._grace.end)
-        endpoint_req = EndpointRequest(
-            req.method,
-            req.target,
-            self._dialect.endpoint_headers(req.metadata, state.name, deadline - began),
-            req.body,
-            req.metadata.request_id,
-            req.route.idempotent,
-            should_abandon,
-            req.reservation,
-            partial(self._check_may_send, req, choice),
-        )
-        opened = state.client.opened_count
-        state.own_in_flight += 1
-        try:
-            res, meta = state.client.send(endpoint_req, deadline)
-        except EndpointError as exc:
-            if not isinstance(exc, NotRun):
-                elapsed_s = self._monotonic() - began
-                self._latency.record_unfinished(req.route, elapsed_s)
-            record_attempt_failure(state, exc, self._monotonic())
-            raise
-        finally:
-            state.own_in_flight -= 1
-        if state.client.opened_count > opened:
-            self._latency.record_rtt(state.region, state.client.connect_s)
-        return self._check_response(req, choice, res, meta, began)
-
-    def _check_may_send(self, req, choice):
-        check_access(req, self._cluster_state)
-        endpoints, now = self._cluster_state.endpoints, self._monotonic()
-        check_may_send(req, choice, endpoints, self._chooser, self._grace, now)
-
-    def _check_response(self, req, choice, res, meta, began):
-        """Record what an endpoint's response tells; raise if it can't be used."""
-        now = self._monotonic()
-        state = choice.state
-        if meta.load is not None:
-            state.record_slowness(meta.load[3], now, own=True)
-        record_limit_announcement(state, meta, now)
-        if meta.misdirected:
-            self._cluster_state.endpoints.addresses.record_wrong_address(state)
-            raise NotRun("another endpoint has the address", "match", state.name)
-        if meta.not_run:
-            state.record_shed(now)
-            raise NotRun(f"status {res.status}", "endpoint", state.name)
-        valid = meta.authentic and (req.route.idempotent or not meta.implies_not_run)
-        if res.status >= MIN_FAILURE_STATUS or not valid:
-            state.record_failure(now)
-        else:
-            state.record_success()
-        if not valid:
-            raise IncompleteAnswer(f"status {res.status}", "answer", state.name)
-        if req.object_key is not None:
-            state.record_cached(req.object_key)
-            self._cluster_state.fleet.announce_cached(state.name, req.object_key)
-        if choice.queueing_delay_s == 0 and not state.cold(now):
-            rtt_s = self._latency.rtt_s(state.region)
-            work = max(0.001, now - began - rtt_s) / choice.slowness  # seconds
-            model = self._latency
-            model.record_work(req.route, req.service, choice.cached, work)
-            model.learn_cache_size(req.route, req.service, choice.reuse_distance, work)
-        return Response(
-            res.status, self._dialect.response_headers(meta.headers), res.body
-        )
-
     def _failure_result(self, req, exc):
         if isinstance(exc, KeyRevoked):
             self._metrics.record_rejection(req.route.name, exc.message)
