--- a/benchmarks/allotment_simulation.py
+++ b/benchmarks/allotment_simulation.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 from benchmarks.limit_simulation import DATAGRAM_LOSS_FRACTION, ONE_WAY_S, REGION_COUNT
-from quetzalwall.platform.settings import Bounds
+from quetzalwall.platform.bounds import Bounds
 from quetzalwall.process.cluster.fleet import (
     LOCAL_DATAGRAMS_PER_S,
     READ_DELAY_FRACTION,
--- a/benchmarks/choice_simulation.py
+++ b/benchmarks/choice_simulation.py
@@ -14,8 +14,8 @@
 from collections import OrderedDict, deque
 
 from benchmarks.load_pattern import Pattern, Result
+from quetzalwall.platform.bounds import Bounds
 from quetzalwall.platform.headers import parse_response
-from quetzalwall.platform.settings import Bounds
 from quetzalwall.platform.store import RowChange, Rows
 from quetzalwall.process.cluster.cluster_state import create_cluster_state
 from quetzalwall.process.cluster.endpoint_table import create_endpoint_table
--- a/quetzalwall/platform/tests/test_malformed_input.py
+++ b/quetzalwall/platform/tests/test_malformed_input.py
@@ -6,10 +6,10 @@
 
 from quetzalwall.connection.http_server import BadRequest
 from quetzalwall.connection.json_client import JsonResponse
+from quetzalwall.platform.bounds import Bounds
 from quetzalwall.platform.deploy import check_deploy
 from quetzalwall.platform.fields import settings_from_fields
 from quetzalwall.platform.headers import parse_request, parse_response
-from quetzalwall.platform.settings import Bounds
 from quetzalwall.platform.store import StoreUnavailable, create_store_client
 from quetzalwall.process.limits.cold_start_limiter import create_cold_start_limiter
 
--- a/quetzalwall/platform/tests/test_settings.py
+++ b/quetzalwall/platform/tests/test_settings.py
@@ -7,8 +7,8 @@
 from nose2.tools import params
 
 from quetzalwall.exceptions import SettingsError
+from quetzalwall.platform.bounds import Bounds
 from quetzalwall.platform.settings import (
-    Bounds,
     InstanceSettings,
     Listen,
     read_settings,
--- a/quetzalwall/process/cluster/tests/test_freshness.py
+++ b/quetzalwall/process/cluster/tests/test_freshness.py
@@ -9,7 +9,7 @@
 from nose2.tools import params
 
 from quetzalwall.clock import system_clock
-from quetzalwall.platform.settings import Bounds
+from quetzalwall.platform.bounds import Bounds
 from quetzalwall.platform.store import Rows
 from quetzalwall.platform.store_era import combine_version
 from quetzalwall.process.cluster.fleet import LOCAL_DATAGRAMS_PER_S, create_fleet
--- a/quetzalwall/process/limits/tests/test_allotments.py
+++ b/quetzalwall/process/limits/tests/test_allotments.py
@@ -6,7 +6,7 @@
 from nose2.tools import params
 
 from benchmarks.allotment_simulation import AllotmentPattern, simulate_allotment
-from quetzalwall.platform.settings import Bounds
+from quetzalwall.platform.bounds import Bounds
 from quetzalwall.process.cluster.peer_report import PeerInfo
 from quetzalwall.process.limits.allotments import START_S, create_allotments
 from quetzalwall.version.accounts import ClientAccount, create_accounts
--- a/quetzalwall/process/limits/tests/test_limits.py
+++ b/quetzalwall/process/limits/tests/test_limits.py
@@ -2,7 +2,7 @@
 
 from nose2.tools import params
 
-from quetzalwall.platform.settings import Bounds
+from quetzalwall.platform.bounds import Bounds
 from quetzalwall.process.limits.cold_start_limiter import (
     cold_endpoint_share,
     create_cold_start_limiter,
--- a/quetzalwall/process/tests/test_look_ups_at_scale.py
+++ b/quetzalwall/process/tests/test_look_ups_at_scale.py
@@ -6,7 +6,7 @@
 from types import SimpleNamespace
 from urllib.parse import urlencode
 
-from quetzalwall.platform.settings import Bounds
+from quetzalwall.platform.bounds import Bounds
 from quetzalwall.process.cluster.peer_report import PeerInfo
 from quetzalwall.process.front_interfaces import _look_up_host
 
--- a/quetzalwall/request/tests/test_choice_cpu_time.py
+++ b/quetzalwall/request/tests/test_choice_cpu_time.py
@@ -5,9 +5,9 @@
 
 import msgspec
 
+from quetzalwall.platform.bounds import Bounds
 from quetzalwall.platform.headers import parse_response
 from quetzalwall.platform.rows import decode_configuration
-from quetzalwall.platform.settings import Bounds
 from quetzalwall.process.cluster.endpoint_table import create_endpoint_table
 from quetzalwall.process.cluster.fleet import create_fleet
 from quetzalwall.process.cluster.peer_report import PeerInfo
