Move the entries of the registry out of the cluster state

Change: `process/cluster/registry_entries.py` applies rows of endpoints, and keeps those whose service no configuration names. It gets the services with each configuration that becomes active. Behaviour is unchanged.

--- a/quetzalwall/process/cluster/cluster_state.py
+++ b/quetzalwall/process/cluster/cluster_state.py
@@ -4,7 +4,6 @@
 
 import gevent
 
-from quetzalwall.connection.yielding_socket import YIELD_SLEEP_S
 from quetzalwall.exceptions import MissingRows, SettingsError
 from quetzalwall.logs import get_logger, log_event
 from quetzalwall.platform.rows import (
@@ -14,12 +13,12 @@
     OPERATOR_TABLE,
     RowError,
     decode_configuration,
-    decode_endpoint,
 )
 from quetzalwall.platform.store import RowChange
 from quetzalwall.platform.store_era import era_of
 from quetzalwall.process.cluster.evacuations import EVACUATION_HOLD_S, Evacuations
 from quetzalwall.process.cluster.exported_rows import read_exported
+from quetzalwall.process.cluster.registry_entries import RegistryEntries
 from quetzalwall.process.cluster.restored_entries import keep_known_starts
 from quetzalwall.process.storage.settings_tree import read_tree
 from quetzalwall.process.storage.store_table import SETTINGS_TABLE
@@ -37,7 +36,6 @@
 TREE_TABLES = (SETTINGS_TABLE,)
 
 CONFIGURATION_TABLES = (OPERATOR_TABLE, SETTINGS_TABLE)
-ROWS_PER_SLICE = 200  # applied before other tasks run
 MAX_REMOVALS = 2000  # kept for each table, to export them to other instances
 LOG = get_logger("config")
 
@@ -74,8 +72,7 @@
         # Versions of the store after which all removals are known.
         self._removals_after = dict.fromkeys(tables, 0)
         self._versions = {}
-        # Keys of the endpoints' rows whose service the configuration does not name.
-        self._unnamed = set()
+        self._entries = RegistryEntries(endpoints)
         self._evacuations = Evacuations()
         # Rows of the active configuration, and whether those of the store are older.
         self._active_rows = {}
@@ -165,7 +162,8 @@
             try:
                 if restored:
                     expired |= keep_known_starts(self.endpoints, changes)
-                self._apply_endpoints(changes, expired, rows.return_grace_s)
+                first_time = table not in self._applied
+                self._entries.apply(changes, expired, rows.return_grace_s, first_time)
             finally:
                 self._applying.discard(table)
         else:
@@ -278,11 +276,10 @@
         except RowError as exc:
             log_event(LOG, "refused", "error", row=change.version, reason=exc.message)
             return False
-        is_first = self._cfg is None
         activated = self._activate(cfg, change.version)
         if activated:
             self._active_rows = {CONFIG_KEY: change.value}
-            self._apply_services(cfg.services, is_first)
+            self._entries.apply_services(cfg.services, self._rows[ENDPOINTS_TABLE])
         self._store_is_older = cfg.version < self._cfg.version
         return activated
 
@@ -357,65 +354,6 @@
         spec = self._cfg.services.get(service) if self._cfg else None
         return spec.cold_s if spec else 0.0
 
-    def _apply_endpoints(self, changes, expired, grace_s):
-        first_time = ENDPOINTS_TABLE not in self._applied
-        for number, change in enumerate(changes, 1):
-            if number % ROWS_PER_SLICE == 0:
-                gevent.sleep(YIELD_SLEEP_S)
-            if change.value is None:
-                self._unnamed.discard(change.key)
-                self.endpoints.remove(change.key, change.key in expired, grace_s)
-            else:
-                self._apply_entry(change, log=not first_time)
-        if first_time:
-            log_event(LOG, "registry", endpoints=len(self.endpoints))
-
-    def _apply_entry(self, change, log=True):
-        was_unnamed = change.key in self._unnamed
-        self._unnamed.discard(change.key)
-        try:
-            entry = decode_endpoint(change.key, change.value)
-        except RowError as exc:
-            _log_bad_endpoint(change, exc.message)
-            self.endpoints.invalidate(change.key)
-            return
-        if self._cfg is None or entry.service in self._cfg.services:
-            self.endpoints.put(entry, log=log)
-            return
-        # Kept until a configuration names the service.
-        self._unnamed.add(change.key)
-        if not was_unnamed:
-            _log_bad_endpoint(change, f"/service: not named: {entry.service[:40]!r}")
-        state = self.endpoints.get(change.key)
-        if state is not None and state.entry.service != entry.service:
-            self.endpoints.invalidate(change.key)
-
-    def _apply_services(self, services, is_first):
-        """Use or leave out endpoints by the services that are now named."""
-        self.endpoints.addresses.set_services(services)
-        if is_first:
-            # Those that a later configuration no longer names keep their state: it may
-            # be replaced by one that names them again.
-            unnamed = [s for s in self.endpoints if s.entry.service not in services]
-            for state in unnamed:
-                self.endpoints.remove(state.name, False)
-            self._unnamed.update(state.name for state in unnamed)
-        rows = self._rows[ENDPOINTS_TABLE]
-        for key in sorted(self._unnamed):
-            if key in rows:
-                self._apply_entry(rows[key])
-
-
-def _log_bad_endpoint(change, reason):
-    log_event(
-        LOG,
-        "bad-endpoint",
-        "warning",
-        endpoint=change.key,
-        row=change.version,
-        reason=reason,
-    )
-
 
 def create_cluster_state(endpoints, fleet, tables=PLATFORM_TABLES):
     """Return a cluster state to which no rows have been applied.
--- a/quetzalwall/process/cluster/tests/test_large_registry.py
+++ b/quetzalwall/process/cluster/tests/test_large_registry.py
@@ -5,16 +5,14 @@
 
 from quetzalwall.platform.headers import parse_response
 from quetzalwall.platform.store import RowChange, Rows
-from quetzalwall.process.cluster.cluster_state import (
-    ROWS_PER_SLICE,
-    create_cluster_state,
-)
+from quetzalwall.process.cluster.cluster_state import create_cluster_state
 from quetzalwall.process.cluster.endpoint_table import (
     EXPIRY_GRACE_S,
     create_endpoint_table,
 )
 from quetzalwall.process.cluster.fleet import create_fleet
 from quetzalwall.process.cluster.peer_report import PeerInfo
+from quetzalwall.process.cluster.registry_entries import ROWS_PER_SLICE
 from quetzalwall.process.self_watch import LOOP_LAG_LIMIT_S
 from quetzalwall.tests.platform_fixtures import (
     DOMAINS,
