Move the pair of report groups out of the fleet

Change: `process/cluster/report_groups.py` has both groups, their rates and the times that follow from their periods; benchmarks and a test import the rates from there. Behaviour is unchanged.

The tests of `quetzalwall.process.cluster` and `quetzalwall.process.limits` pass (Ran 165 tests).

--- a/benchmarks/allotment_simulation.py
+++ b/benchmarks/allotment_simulation.py
@@ -9,13 +9,13 @@
 
 from benchmarks.limit_simulation import DATAGRAM_LOSS_FRACTION, ONE_WAY_S, REGION_COUNT
 from quetzalwall.platform.bounds import Bounds
-from quetzalwall.process.cluster.fleet import (
+from quetzalwall.process.cluster.peer_report import PeerInfo
+from quetzalwall.process.cluster.report_group import MAX_NEWS_WAIT_S, ReportGroup
+from quetzalwall.process.cluster.report_groups import (
     LOCAL_DATAGRAMS_PER_S,
     READ_DELAY_FRACTION,
     REMOTE_DATAGRAMS_PER_S,
 )
-from quetzalwall.process.cluster.peer_report import PeerInfo
-from quetzalwall.process.cluster.report_group import MAX_NEWS_WAIT_S, ReportGroup
 from quetzalwall.process.limits.allotments import START_S, create_allotments
 from quetzalwall.version.accounts import ClientAccount, create_accounts
 
--- a/benchmarks/limit_simulation.py
+++ b/benchmarks/limit_simulation.py
@@ -6,11 +6,11 @@
 from typing import NamedTuple
 
 from quetzalwall.process.cluster.advertised_limit import AdvertisedLimit
-from quetzalwall.process.cluster.fleet import (
+from quetzalwall.process.cluster.report_group import ReportGroup
+from quetzalwall.process.cluster.report_groups import (
     LOCAL_DATAGRAMS_PER_S,
     REMOTE_DATAGRAMS_PER_S,
 )
-from quetzalwall.process.cluster.report_group import ReportGroup
 
 __all__ = ["LimitPattern", "compare_with_limit", "simulate"]
 
--- a/quetzalwall/process/cluster/fleet.py
+++ b/quetzalwall/process/cluster/fleet.py
@@ -19,19 +19,14 @@
     MIN_REPORT_PERIOD_S,
     NEW_PEER_S,
     UNRESPONSIVE_AFTER_S,
-    ReportGroup,
 )
+from quetzalwall.process.cluster.report_groups import ReportGroups
 from quetzalwall.process.cluster.sender_identities import SenderIdentities
 from quetzalwall.process.cluster.table_updates import TableUpdates
 from quetzalwall.process.tasks import repeat
 
 __all__ = ["UNRESPONSIVE_AFTER_S", "Fleet", "create_fleet"]
 
-# Datagrams of one instance to its region; with more peers each gets fewer.
-LOCAL_DATAGRAMS_PER_S = 60.0
-REMOTE_DATAGRAMS_PER_S = 40.0  # to all other regions
-READ_DELAY_FRACTION = 0.1  # of a peer's report period, for which a datagram may wait
-MIN_READ_DELAY_S = 0.03  # a shorter delay saves no wake-ups
 SELF_STALL_S = 1.0  # after a longer stall of this process, missing reports mean nothing
 LOG = get_logger("fleet")
 
@@ -95,10 +90,7 @@
         self._next_timeout = -math.inf
         self._peer_order = PeerOrder()
         self._identities = SenderIdentities()
-        self._report_groups = (
-            ReportGroup(True, LOCAL_DATAGRAMS_PER_S),
-            ReportGroup(False, REMOTE_DATAGRAMS_PER_S),
-        )
+        self._report_groups = ReportGroups(info.region)
         self._peers = {}
         self._members = Members(info)
         self._task = None
@@ -110,7 +102,7 @@
             self.own_info.host,
             self._port,
             self._on_report,
-            self._read_delay_s,
+            self._report_groups.read_delay_s,
             self.traffic,
             self.table_updates.freshness,
         )
@@ -233,7 +225,8 @@
             self._resize_group(sender, 1)
         peer.info = sender
         if peer.unresponsive or report.process_id != peer.process_id:
-            self._group(sender).new_peer_until = now + NEW_PEER_S
+            group = self._report_groups.of_region(sender.region)
+            group.new_peer_until = now + NEW_PEER_S
         if report.process_id != peer.process_id:
             self._identities.replace(peer.former_process_id, report)
             peer.former_process_id, peer.process_id = peer.process_id, report.process_id
@@ -266,10 +259,11 @@
         """
         due, news = [], self.allotments is not None and self.allotments.has_news(now)
         phase = endpoint_code(self.own_info.name) / 2**32
+        group_of = self._report_groups.of_region
         for group in self._report_groups:
             if group.is_due(now, news):
                 peers = (
-                    p for p in self._peers.values() if self._group(p.info) is group
+                    p for p in self._peers.values() if group_of(p.info.region) is group
                 )
                 recipients = group.recipients(peers, now)
                 due.append((self._build_report(group, now), recipients))
@@ -341,13 +335,9 @@
         return peer
 
     def _resize_group(self, info, change):
-        self._group(info).peers += change
+        self._report_groups.of_region(info.region).peers += change
         self._next_timeout = -math.inf
 
-    def _group(self, info):
-        local, remote = self._report_groups
-        return local if info.region == self.own_info.region else remote
-
     def report_period_s(self):
         """Return the report period of the peers that report most often.
 
@@ -356,7 +346,7 @@
         float
             Seconds; 0 if there are no peers.
         """
-        return min((g.period_s() for g in self._report_groups if g.peers), default=0.0)
+        return self._report_groups.period_s()
 
     def report_age_s(self, region):
         """Return the mean age of what the instances of a region have reported.
@@ -371,12 +361,7 @@
         float
             Seconds, without the delay of the network.
         """
-        local, remote = self._report_groups
-        return (local if region == self.own_info.region else remote).period_s() / 2
-
-    def _read_delay_s(self):
-        delay_s = READ_DELAY_FRACTION * self.report_period_s()
-        return min(MIN_REPORT_PERIOD_S, delay_s) if delay_s > MIN_READ_DELAY_S else 0
+        return self._report_groups.of_region(region).period_s() / 2
 
     def _on_report(self, report):
         self.receive(report, self._monotonic())
--- a/quetzalwall/process/cluster/tests/test_freshness.py
+++ b/quetzalwall/process/cluster/tests/test_freshness.py
@@ -12,7 +12,7 @@
 from quetzalwall.platform.bounds import Bounds
 from quetzalwall.platform.store import Rows
 from quetzalwall.platform.store_era import combine_version
-from quetzalwall.process.cluster.fleet import LOCAL_DATAGRAMS_PER_S, create_fleet
+from quetzalwall.process.cluster.fleet import create_fleet
 from quetzalwall.process.cluster.freshness import (
     DELAY_WINDOW_S,
     MARGIN_S,
@@ -22,6 +22,7 @@
 from quetzalwall.process.cluster.peer_report import PeerInfo, decode_report
 from quetzalwall.process.cluster.peer_socket import MAX_IDLE_S, PeerSocket
 from quetzalwall.process.cluster.report_group import MIN_REPORT_PERIOD_S, ReportGroup
+from quetzalwall.process.cluster.report_groups import LOCAL_DATAGRAMS_PER_S
 from quetzalwall.process.cluster.store_readers import ALL_READ_BELOW, follows_store
 from quetzalwall.process.cluster.store_watch import (
     CALL_PAUSE_S,
