Move the time-outs of peers out of the fleet

Change: `process/cluster/peer_timeouts.py` finds overdue peers and logs them, and notices a stall of this process. What follows from it for endpoints, members and tables stays in the fleet. Behaviour is unchanged.

The tests of `quetzalwall.process.cluster` and `quetzalwall.process.limits` pass (Ran 165 tests).

--- a/quetzalwall/process/cluster/fleet.py
+++ b/quetzalwall/process/cluster/fleet.py
@@ -4,8 +4,6 @@
 next one makes up for a lost one.
 """
 
-import math
-
 from quetzalwall.logs import get_logger, log_event
 from quetzalwall.process.cluster.claim_codes import ClaimCodes
 from quetzalwall.process.cluster.endpoint_code import endpoint_code
@@ -14,6 +12,7 @@
 from quetzalwall.process.cluster.peer_order import PeerOrder
 from quetzalwall.process.cluster.peer_report import Peer, PeerReport, is_newer
 from quetzalwall.process.cluster.peer_socket import PeerSocket
+from quetzalwall.process.cluster.peer_timeouts import PeerTimeouts
 from quetzalwall.process.cluster.report_group import (
     LOOKUP_TIMEOUT_S,
     MIN_REPORT_PERIOD_S,
@@ -27,7 +26,6 @@
 
 __all__ = ["UNRESPONSIVE_AFTER_S", "Fleet", "create_fleet"]
 
-SELF_STALL_S = 1.0  # after a longer stall of this process, missing reports mean nothing
 LOG = get_logger("fleet")
 
 
@@ -86,11 +84,10 @@
         self._monotonic = monotonic
         self._process_id = process_id
         self._sequence = 0
-        self._last_check_at = None
-        self._next_timeout = -math.inf
         self._peer_order = PeerOrder()
         self._identities = SenderIdentities()
         self._report_groups = ReportGroups(info.region)
+        self._timeouts = PeerTimeouts(self._report_groups)
         self._peers = {}
         self._members = Members(info)
         self._task = None
@@ -157,7 +154,7 @@
         -------
         list of PeerInfo
         """
-        cutoff = (self._last_check_at or 0.0) - LOOKUP_TIMEOUT_S
+        cutoff = (self._timeouts.last_check_at or 0.0) - LOOKUP_TIMEOUT_S
         found = self._peers.values()
         live = [
             p.info
@@ -238,7 +235,7 @@
         self.claim_codes.receive(report.claimed, now)
         self.table_updates.receive(report, now)
         if peer.unresponsive:
-            self._next_timeout = -math.inf
+            self._timeouts.reset()
         peer.last_seen, peer.unresponsive = now, False
         self._endpoint_stats.apply_report(peer, report, now)
         if self.allotments is not None:
@@ -297,36 +294,18 @@
         now : float
             Monotonic seconds.
         """
-        previous, self._last_check_at = self._last_check_at, now
-        if previous is not None and now - previous > SELF_STALL_S:
-            # This process was stalled itself and has received no reports meanwhile.
-            for peer in self._peers.values():
+        peers = self._peers.values()
+        if self._timeouts.has_stalled(now):
+            # This process has received no reports meanwhile.
+            for peer in peers:
                 if not peer.unresponsive:
                     peer.last_seen = now
             self._members.invalidate()
             self.table_updates.clear_confirmations()
             return
-        if now < self._next_timeout:
-            return
-        timeouts_s = {g.same_region: g.timeout_s() for g in self._report_groups}
-        self._next_timeout = math.inf
-        for peer in self._peers.values():
-            if peer.unresponsive:
-                continue
-            timeout_s = timeouts_s[peer.info.region == self.own_info.region]
-            if now - peer.last_seen <= timeout_s:
-                self._next_timeout = min(self._next_timeout, peer.last_seen + timeout_s)
-            else:
-                peer.unresponsive = True
-                self._endpoint_stats.set_peer_in_flight(peer, {})
-                log_event(
-                    LOG,
-                    "silent",
-                    "warning",
-                    peer=peer.info.name,
-                    domain=peer.info.domain,
-                    silent_s=now - peer.last_seen,
-                )
+        for peer in self._timeouts.find_overdue(peers, now):
+            peer.unresponsive = True
+            self._endpoint_stats.set_peer_in_flight(peer, {})
 
     def _add_peer(self, info):
         peer = self._peers[info.name] = Peer(info)
@@ -336,7 +315,7 @@
 
     def _resize_group(self, info, change):
         self._report_groups.of_region(info.region).peers += change
-        self._next_timeout = -math.inf
+        self._timeouts.reset()
 
     def report_period_s(self):
         """Return the report period of the peers that report most often.
