Move log lines on start, traffic and rejections out of the daemon

Change: `process/front_log.py` logs the start, the bytes exchanged and the counts of rejected heads and slow readers. Events and keys are unchanged.

The 54 tests of `test_front`, `test_slow_readers`, `test_request_heads` and `test_traffic_meter` in `quetzalwall.process.tests` pass.

--- a/quetzalwall/process/front.py
+++ b/quetzalwall/process/front.py
@@ -1,7 +1,6 @@
 """The daemon of an instance: creates, starts and stops all components in order."""
 
 import os
-import platform
 import random
 from functools import partial
 
@@ -24,7 +23,6 @@
 from quetzalwall.platform.headers import PLATFORM_DIALECT
 from quetzalwall.platform.settings import (
     FROM_TREE,
-    format_addresses,
     log_ignored,
     read_settings,
 )
@@ -35,6 +33,7 @@
 from quetzalwall.process.cluster.peer_tables import create_peer_tables
 from quetzalwall.process.cluster.store_watch import create_table_watch
 from quetzalwall.process.front_interfaces import create_interfaces
+from quetzalwall.process.front_log import RejectionLog, log_started, log_traffic
 from quetzalwall.process.front_metrics import create_front_metrics
 from quetzalwall.process.front_parts import (
     NO_TREE,
@@ -134,8 +133,7 @@
         self._servers = {}
         self._tasks = []
         self._removals_seen = 0
-        self._cut_off = dict(self.deliveries.cut_off)
-        self._rejected_heads = dict(self.heads.rejected)
+        self._rejection_log = RejectionLog(self.heads, self.deliveries)
 
     @property
     def in_flight(self):
@@ -181,25 +179,12 @@
             repeat(self._check_settings, SETTINGS_PERIOD_S),
             repeat(self.self_watch.look, CHECK_PERIOD_S),
             repeat(self._make_room, EVICTION_PERIOD_S),
-            repeat(self._log_rejected_heads, REJECTED_PERIOD_S),
+            repeat(self._rejection_log.write, REJECTED_PERIOD_S),
             repeat(self.endpoints.drop_lapsed, EXPIRY_PERIOD_S),
             repeat(self._configuration_sync.check, SYNC_PERIOD_S),
             repeat(self._log_traffic, TRAFFIC_PERIOD_S),
         ]
-        log_event(
-            LOG,
-            "started",
-            instance=self.settings.instance,
-            address=self.settings.address,
-            domain=self.settings.domain,
-            process=os.getpid(),
-            user=os.geteuid(),
-            python=platform.python_version(),
-            libraries=os.path.dirname(os.path.dirname(gevent.__file__)),
-            listening=format_addresses(listen),
-            memory_mb=self.settings.memory_mb,
-            connections=self.settings.descriptors,
-        )
+        log_started(settings)
 
     def _open(self, name, address, start):
         open_listener(name, address, start, self.clock.monotonic)
@@ -329,9 +314,7 @@
         return self.traffic.totals | {("store", "unknown"): self._store.exchanged_bytes}
 
     def _log_traffic(self):
-        totals = sorted(self.exchanged_bytes().items())
-        fields = {f"{kind}_{distance}": size for (kind, distance), size in totals}
-        log_event(LOG, "traffic", **fields)
+        log_traffic(self.exchanged_bytes())
 
     def _make_room(self):
         self.heads.close_overdue()
@@ -340,15 +323,6 @@
                 log_event(LOG, "made-room", "warning", listener=name, ended=ended)
             self.heads.evict(server, shortfall_of(server.pool) - ended)
 
-    def _log_rejected_heads(self):
-        counts = dict(self.heads.rejected)
-        if counts != self._rejected_heads:
-            log_event(LOG, "heads-refused", "warning", **counts)
-            self._rejected_heads = counts
-        if self.deliveries.cut_off != self._cut_off:
-            self._cut_off = dict(self.deliveries.cut_off)
-            log_event(LOG, "slow-readers", "warning", **self._cut_off)
-
     def _apply_configuration(self, cfg):
         limits = cfg.limits
         self.heads.configure(limits.max_header_bytes, limits.header_timeout_s)
