Move the repeated read of the settings file out of the daemon

Change: `process/settings_file.py` has both as functions. Path and signature stay with the instance: `test_stale_configuration` gives it another file. Behaviour is unchanged.

The 240 tests of `quetzalwall.platform`, and `test_front` and `test_stale_configuration` of `quetzalwall.process.tests` pass.

--- a/quetzalwall/process/front.py
+++ b/quetzalwall/process/front.py
@@ -1,6 +1,5 @@
 """The daemon of an instance: creates, starts and stops all components in order."""
 
-import os
 import random
 from functools import partial
 
@@ -18,14 +17,9 @@
 from quetzalwall.connection.product_dialect import PRODUCT_DIALECT
 from quetzalwall.connection.request_heads import RequestHeads
 from quetzalwall.connection.slow_readers import Deliveries
-from quetzalwall.exceptions import SettingsError
 from quetzalwall.logs import describe_failure, get_logger, log_event
 from quetzalwall.platform.headers import PLATFORM_DIALECT
-from quetzalwall.platform.settings import (
-    FROM_TREE,
-    log_ignored,
-    read_settings,
-)
+from quetzalwall.platform.settings import FROM_TREE
 from quetzalwall.platform.store import create_store_client
 from quetzalwall.platform.store_era import era_of
 from quetzalwall.process.cluster.cluster_state import PLATFORM_TABLES, TREE_TABLES
@@ -49,6 +43,7 @@
 )
 from quetzalwall.process.restored_store import recover_restored
 from quetzalwall.process.self_watch import CHECK_PERIOD_S, create_self_watch
+from quetzalwall.process.settings_file import file_signature, reread_settings
 from quetzalwall.process.tasks import repeat
 
 __all__ = ["Front", "create_front", "run_front"]
@@ -89,7 +84,7 @@
         self.settings = settings
         self.stopping = False
         self._settings_file = settings_file
-        self._settings_signature = _file_signature(settings_file)
+        self._settings_signature = file_signature(settings_file)
         self.clock = clock
         self.rng = rng
         self._stopped = gevent.event.Event()
@@ -245,14 +240,10 @@
 
     def reload(self):
         """Read the settings file again; keep the old settings if they are invalid."""
-        ignored = []
-        try:
-            settings = read_settings(self._settings_file, ignored, self.settings)
-        except SettingsError as exc:
-            log_event(LOG, "settings-refused", "error", reason=exc.message)
+        settings = reread_settings(self._settings_file, self.settings)
+        if settings is None:
             return
-        log_ignored(ignored)
-        self._settings_signature = _file_signature(self._settings_file)
+        self._settings_signature = file_signature(self._settings_file)
         self.limits.retry_budget.configure(settings.bounds)
         self.limits.cold_start_limiter.configure(settings.bounds)
         self._freshness.configure(settings.bounds)
@@ -335,19 +326,10 @@
         self.metrics.prune_routes({route.name for route in routes})
 
     def _check_settings(self):
-        if _file_signature(self._settings_file) != self._settings_signature:
+        if file_signature(self._settings_file) != self._settings_signature:
             self.reload()
 
 
-def _file_signature(file):
-    """Return modification time, size and inode of a file; None if it can't be read."""
-    try:
-        status = os.stat(file)
-    except OSError:
-        return None
-    return status.st_mtime_ns, status.st_size, status.st_ino
-
-
 def create_front(settings, settings_file, clock=None, seed=None):
     """Return an instance that is not yet started.
 
