Decide the end of a stream where the system tells no TCP state

Where TCP_INFO or TIOCOUTQ failed with an error, or the state was given as 0, every response without a length was rejected or failed with that error. Now such a system counts the end of the stream as a close, unless the socket has a pending error or the sending of the request ended by one. The sender records that error, which it took before the reader could see it, and it counts on other systems as well.

Two tests patch both calls.

--- a/quetzalwall/connection/endpoint_client.py
+++ b/quetzalwall/connection/endpoint_client.py
@@ -228,6 +228,7 @@
         self._req = req
         self._conn = None
         self._sender = None
+        self._send_failed = False
         self._ended = False  # the end of the stream has been read
         self._reserved_bytes = 0
 
@@ -282,10 +283,17 @@
 
     def _send(self, raw):
         if len(raw) <= MAX_INLINE_BYTES:
-            _send_all(self._conn.sock, raw)
+            self._send_all(raw)
         else:
             # The endpoint may respond before it has read the body.
-            self._sender = gevent.spawn(_send_all, self._conn.sock, raw)
+            self._sender = gevent.spawn(self._send_all, raw)
+
+    def _send_all(self, raw):
+        try:
+            self._conn.sock.sendall(raw)
+        except OSError:
+            # The next read may see an end of stream instead of the error.
+            self._send_failed = True
 
     def _receive(self, parser):
         name, request_id = self._client.name, self._req.request_id
@@ -321,9 +329,13 @@
         if data:
             return
         self._ended = True
-        if parser.responses and not is_closed_in_order(self._conn.sock, self._is_sent):
+        if parser.responses and not self._is_closed_in_order():
             raise IncompleteAnswer("connection was reset", "read", name)
 
+    def _is_closed_in_order(self):
+        closed = is_closed_in_order(self._conn.sock, self._is_sent)
+        return closed and not self._send_failed
+
     def _reserve(self, data, parser, name):
         """Reserve memory for bytes before they are parsed; raise if too many."""
         reservation, size = self._req.reservation, parser.received_bytes + len(data)
@@ -366,17 +378,6 @@
     pass
 
 
-def _send_all(sock, raw):
-    """Send; a broken connection is noticed when the response is read.
-
-    The next read may see an end of stream instead of the error: `is_closed_in_order`.
-    """
-    try:
-        sock.sendall(raw)
-    except OSError:
-        return
-
-
 def create_endpoint_client(name, host, port, parse_response, monotonic):
     """Return a client of one endpoint.
 
--- a/quetzalwall/connection/response_checks.py
+++ b/quetzalwall/connection/response_checks.py
@@ -1,5 +1,6 @@
 """Checks of responses that the HTTP library leaves to its users."""
 
+import errno
 import fcntl
 import math
 import re
@@ -16,6 +17,7 @@
 STATUSES = range(100, 600)
 FIELD_NAME_PATTERN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]*")  # RFC 9110, token
 CLOSE_WAIT = 8  # state in tcp_info: the peer has sent FIN, and neither side a reset
+UNKNOWN_STATE = 0  # of systems that don't tell it; no state has this number
 ACKNOWLEDGEMENT_POLL_S = 0.005
 
 
@@ -48,14 +50,16 @@
     To be called at the end of the stream. That alone doesn't tell a close from a reset:
     the error of a reset is reported once, to whichever task reads or writes first. A
     peer that closes while a request arrives sends a reset, but maybe after a FIN. So
-    this waits until the peer has acknowledged the request.
+    this waits until the peer has acknowledged the request. On a system that doesn't
+    tell the state of a connection, only a pending error tells of a reset; the caller
+    has to know of an error that was reported to the task which writes.
 
     Parameters
     ----------
     sock : gevent.socket.socket
         The connection.
     is_sent : callable, default=None
-        Returns whether the request has been written; None if it has.
+        Returns whether the writing of the request has ended; None if it has.
     timeout_s : float, default=None
         Seconds to wait at most; None waits until the task's own time-out.
 
@@ -65,8 +69,10 @@
         False also if the time is over.
     """
     deadline = time.monotonic() + (math.inf if timeout_s is None else timeout_s)
-    while _tcp_state(sock) == CLOSE_WAIT:
+    while (state := _tcp_state(sock)) in (CLOSE_WAIT, UNKNOWN_STATE):
         if (is_sent is None or is_sent()) and not _unacknowledged_bytes(sock):
+            if state == UNKNOWN_STATE:
+                return not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
             # A reset may have come between the two calls.
             return _tcp_state(sock) == CLOSE_WAIT
         if time.monotonic() >= deadline:
@@ -76,9 +82,19 @@
 
 
 def _tcp_state(sock):
-    return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+    try:
+        return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+    except OSError as exc:
+        if exc.errno == errno.EBADF:
+            raise
+        return UNKNOWN_STATE
 
 
 def _unacknowledged_bytes(sock):
-    size = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+    try:
+        size = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+    except OSError as exc:
+        if exc.errno == errno.EBADF:
+            raise
+        return 0
     return struct.unpack("i", size)[0]
--- a/quetzalwall/connection/single_attempt.py
+++ b/quetzalwall/connection/single_attempt.py
@@ -213,7 +213,7 @@
 
     def _read_head(self, sock, req, step):
         try:
-            res = CheckedResponse(sock, self._connection_pool, req)
+            res = CheckedResponse(sock, self._connection_pool, req, step == "send")
         except (OSError, HTTPParseError) as exc:
             raise OutcomeUnknown(str(exc), step=step, peer=self.peer) from exc
         echoed = res.get(REQUEST_ID_HEADER)
@@ -240,9 +240,12 @@
         Pool that the socket came from.
     req : OutgoingRequest
         The request.
+    send_failed : bool
+        Whether its sending ended by an error.
     """
 
-    def __init__(self, sock, pool, req):
+    def __init__(self, sock, pool, req, send_failed):
+        self._send_failed = send_failed
         self._request_id = req.request_id
         self._received_bytes = 0
         self._is_complete = False
@@ -287,8 +290,8 @@
         self._received_bytes += len(data)
         in_body = self.headers_complete and not self._is_complete
         if not data and in_body:
-            timeout_s = self._sock.gettimeout()
-            if not is_closed_in_order(self._sock, timeout_s=timeout_s):
+            in_order = is_closed_in_order(self._sock, None, self._sock.gettimeout())
+            if self._send_failed or not in_order:
                 raise HTTPParseError("connection was reset")
         try:
             super().feed(data)
--- a/quetzalwall/connection/tests/test_resets.py
+++ b/quetzalwall/connection/tests/test_resets.py
@@ -1,7 +1,11 @@
 """Responses without a length whose connection is reset or closed during the request."""
 
+import errno
+import fcntl
 import struct
 import time
+from contextlib import contextmanager
+from unittest import mock
 
 import gevent
 import gevent.socket
@@ -171,3 +175,55 @@
                 raise AssertionError("got a complete response")
             except PeerError:
                 client.close()
+
+
+@contextmanager
+def unknown_tcp_state(unsupported):
+    """Let the system tell neither the state of a connection nor its unsent bytes."""
+    getsockopt = gevent.socket.socket.getsockopt
+    error = OSError(errno.ENOPROTOOPT, "not supported")
+
+    def get_option(sock, level, option, *size):
+        if (level, option) != (gevent.socket.IPPROTO_TCP, gevent.socket.TCP_INFO):
+            return getsockopt(sock, level, option, *size)
+        if unsupported:
+            raise error
+        return bytes(*size)
+
+    with (
+        mock.patch.object(gevent.socket.socket, "getsockopt", get_option),
+        mock.patch.object(fcntl, "ioctl", side_effect=error),
+    ):
+        yield
+
+
+# Every response without a length was rejected on a system without TCP_INFO.
+@params(True, False)
+def test_response_is_complete_if_the_system_does_not_tell_the_tcp_state(unsupported):
+    def serve(sock, address):
+        sock.sendall(head_without_length() + b"all of it")
+        sock.shutdown(gevent.socket.SHUT_WR)
+        while sock.recv(1_000_000):
+            pass
+
+    def handle(sock):
+        read_request_head(sock)
+        sock.sendall(b"HTTP/1.1 200 OK\r\n\r\n{}")
+
+    with unknown_tcp_state(unsupported), scripted_server(handle) as port:
+        for method, size in (("GET", 0), ("POST", 100), ("POST", LONG)):
+            assert exchange(serve, method, size) == b"all of it"
+        client = create_json_client("127.0.0.1", port, "peer", timeout_s=2.0)
+        assert client.call("GET", "/x").body == {}
+        client.close()
+
+
+# There, a reset that the sender has noticed must not look like a close.
+@params(True, False)
+def test_reset_during_an_upload_counts_if_the_tcp_state_is_unknown(unsupported):
+    with unknown_tcp_state(unsupported):
+        for size in (LONG, SHORT):
+            test_reset_during_an_upload_does_not_complete_a_response(
+                "POST", "", size, 0.05
+            )
+        test_reset_does_not_complete_the_response_to_a_json_call()
