Don't take a full endpoint to have the mean load of its region

With reports older than the work of a request takes, the estimate of an endpoint's load is close to the mean of its region, also if it is reported to have four requests for each slot. Such an endpoint was chosen as often as others, and the request rejected as "full" although others had free slots. The reported number now counts if it is that high.

Measured on one chooser: four endpoints of a region, one with 24 requests on 6 slots and three with 1, reports 0.29 s old, slots occupied for 0.1 s: 235 of 1,000 requests were rejected before, none after. With reports of 0.05 s and 0.5 s of work, none in both. The three cases of the test fail without the change; the tests of request/ pass (41).

--- a/quetzalwall/request/endpoint_chooser.py
+++ b/quetzalwall/request/endpoint_chooser.py
@@ -12,12 +12,12 @@
 from quetzalwall.logs import get_logger, log_event
 from quetzalwall.process.cluster.object_ranks import ENDPOINTS_PER_OBJECT
 from quetzalwall.process.limits.share import even_share
+from quetzalwall.request import reported_load
 from quetzalwall.request.candidate_sample import sample_candidates
 from quetzalwall.request.choice import OVERLOAD, STOPPING, Choice, Rejection
 from quetzalwall.request.latency_model import queueing_delay_s
 from quetzalwall.request.paused_endpoints import paused_s
 from quetzalwall.request.queueing_limits import create_queueing_limits
-from quetzalwall.request.reported_load import mean_reported_loads, report_weight
 
 __all__ = ["Chooser", "Choice", "Rejection", "create_chooser"]
 
@@ -38,7 +38,6 @@
 OTHER_DOMAIN_PENALTY_S = 0.08
 FREE_FRACTION = 0.8  # of the slots; with fewer in use no queueing is expected
 COLD_SLOWNESS = 2.0  # factor on the work of a cold endpoint
-MAX_REQUESTS_PER_SLOT = 4.0  # in flight; from this number on an endpoint rejects
 JITTER_S = 0.01  # random part of a cost: smaller differences do not matter
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 2.0
@@ -218,8 +217,8 @@
     def _request_costs(self, route, service, candidates):
         latency, crowding = self._latency, _crowding(candidates)
         slot_time_s = latency.slot_time_s(service)
-        mean_loads = mean_reported_loads(candidates)
-        report_age_s = self._fleet.report_age_s
+        mean_loads = reported_load.mean_reported_loads(candidates)
+        report_age_s, weight = self._fleet.report_age_s, reported_load.report_weight
         return _RequestCosts(
             (latency.work_s(route, False), latency.work_s(route, True)),
             slot_time_s,
@@ -227,7 +226,7 @@
             {region: latency.rtt_s(region) for region in mean_loads},
             SLOT_WEIGHT + CROWDED_SLOT_WEIGHT * crowding,
             PREFERRED_BONUS_S + CROWDED_PREFERRED_BONUS_S * crowding,
-            {r: report_weight(report_age_s(r), slot_time_s) for r in mean_loads},
+            {r: weight(report_age_s(r), slot_time_s) for r in mean_loads},
             mean_loads,
         )
 
@@ -242,25 +241,23 @@
         slowness = state.slowness(now)
         if now < state.cold_until:
             slowness *= COLD_SLOWNESS
-        slots, weight = state.entry.slots, costs.report_weights[state.region]
-        mean = costs.mean_loads[state.region] * slots
-        ahead = state.own_in_flight + mean + weight * (state.peer_in_flight - mean)
+        slots, region = state.entry.slots, state.region
+        load, weight = costs.mean_loads[region], costs.report_weights[region]
+        ahead = reported_load.estimate_in_flight(state, load, weight)
         queueing_s = 0.0
         if ahead + 1 > FREE_FRACTION * slots:
             queueing_s = slowness * queueing_delay_s(
                 slots, ahead, costs.slot_time_s, FREE_FRACTION
             )
         work_s = costs.work_s[cached] * slowness
-        rtt_s = costs.rtt_s[state.region]
         connected = len(state.client.idle) > 0
-        if not connected:
-            rtt_s *= 2  # opening a connection takes one more round trip
+        # Opening a connection takes one more round trip.
+        rtt_s = costs.rtt_s[region] * (1 if connected else 2)
         expected_s = rtt_s + queueing_s + work_s
         cost_s = expected_s + costs.slot_weight * work_s + self._rng.random() * JITTER_S
         if rank < ENDPOINTS_PER_OBJECT:
-            cost_s -= (
-                costs.bonus_s * (ENDPOINTS_PER_OBJECT - rank) / ENDPOINTS_PER_OBJECT
-            )
+            bonus_s = costs.bonus_s * (ENDPOINTS_PER_OBJECT - rank)
+            cost_s -= bonus_s / ENDPOINTS_PER_OBJECT
         if state.region != self._region:
             cost_s += REMOTE_PENALTY_S
         elif state.entry.domain != self._domain:
@@ -281,7 +278,7 @@
             return Rejection("too late", retry_after_s)
         if best.queueing_delay_s > max_queueing_s:
             return Rejection(OVERLOAD, retry_after_s)
-        if best.state.in_flight() >= MAX_REQUESTS_PER_SLOT * best.state.entry.slots:
+        if reported_load.is_full(best.state):
             return Rejection("full", retry_after_s)
         return None
 
--- a/quetzalwall/request/reported_load.py
+++ b/quetzalwall/request/reported_load.py
@@ -7,7 +7,48 @@
 
 import math
 
-__all__ = ["mean_reported_loads", "report_weight"]
+__all__ = ["estimate_in_flight", "is_full", "mean_reported_loads", "report_weight"]
+
+MAX_REQUESTS_PER_SLOT = 4.0  # in flight; from this number on an endpoint rejects
+
+
+def is_full(state):
+    """Return whether an endpoint would reject a request, by the reports.
+
+    Parameters
+    ----------
+    state : EndpointState
+        The endpoint.
+
+    Returns
+    -------
+    bool
+    """
+    return state.in_flight() >= MAX_REQUESTS_PER_SLOT * state.entry.slots
+
+
+def estimate_in_flight(state, mean_load, weight):
+    """Return the requests that are probably in flight at an endpoint.
+
+    Parameters
+    ----------
+    state : EndpointState
+        The endpoint.
+    mean_load : float
+        From `mean_reported_loads`, for its region.
+    weight : float
+        From `report_weight`.
+
+    Returns
+    -------
+    float
+        The reported number if it is full: with the mean, it could be chosen before free
+        ones, and the request be rejected.
+    """
+    if is_full(state):
+        return state.in_flight()
+    mean = mean_load * state.entry.slots
+    return state.own_in_flight + mean + weight * (state.peer_in_flight - mean)
 
 
 def report_weight(age_s, slot_time_s):
