Don't count admissions before its own start against a started instance

A process begins with an empty bucket for each account, and took off its level what the others reported for the window before its start, and for the second in which its bucket does not fill yet. So its level fell to minus five seconds of the load, and it rejected each request of a busy account although the account was within its allotment. Now what a process of longer standing admitted before the bucket began is left out. Where all processes restart, each total equals that of the window, and everything counts as before.

The two cases of the test fail without the change.

--- a/quetzalwall/process/limits/account_bucket.py
+++ b/quetzalwall/process/limits/account_bucket.py
@@ -3,6 +3,7 @@
 import math
 
 from quetzalwall.process.limits.demand_meter import DEMAND_SPAN_S, DemandMeter
+from quetzalwall.process.limits.peer_use import PeerUse
 from quetzalwall.process.sliding_window import SlidingWindow
 
 __all__ = ["AccountBucket"]
@@ -24,19 +25,6 @@
 MIN_WAIT_S = 0.05
 
 
-class _PeerUse:
-    """What one other instance reports of the account."""
-
-    __slots__ = ("admitted", "demand_per_s", "even_sum", "predicted", "ratio_sum")
-
-    def __init__(self):
-        self.demand_per_s = 0.0
-        self.admitted = None
-        self.predicted = 0.0  # admissions taken off the level before they are reported
-        self.ratio_sum = 0.0
-        self.even_sum = None  # while it is overdue and taken to use an even share
-
-
 class AccountBucket:
     """The level of the bucket, the reported demand and the own admissions.
 
@@ -57,7 +45,7 @@
         The allotment.
     level : float
         Requests that all instances together may admit now; negative after an overrun.
-    peers : dict of str to _PeerUse
+    peers : dict of str to PeerUse
         Other instances with figures on this account, by name.
     admitted_total : int
         Own admissions since the start of the process.
@@ -76,7 +64,7 @@
         self._cap = self._slack = 0.0
         self._window_s = 0.0
         self._admitted = None
-        self._updated_at = math.inf if now is None else now
+        self._updated_at = self._began_at = math.inf if now is None else now
         self._last_asked_at = -math.inf
         self._credit = initial_credit
         self._returned = 0
@@ -118,7 +106,7 @@
         at : float
             Monotonic seconds.
         """
-        self.level, self._updated_at = 0.0, at
+        self.level, self._updated_at, self._began_at = 0.0, at, at
 
     def fleet_demand_per_s(self):
         """Return the demand of all instances in requests a second.
@@ -163,7 +151,7 @@
         for name in overdue:
             peer = self.peers.get(name)
             if peer is None:
-                peer = self.peers[name] = _PeerUse()
+                peer = self.peers[name] = PeerUse()
             if peer.even_sum is not None:
                 continue
             if name in recent and peer.demand_per_s > self._even_per_s():
@@ -304,14 +292,11 @@
         hundredths, total, in_window = figures
         peer = self.peers.get(instance)
         if peer is None:
-            peer = self.peers[instance] = _PeerUse()
+            peer = self.peers[instance] = PeerUse()
             peer.ratio_sum = self._ratio_sum
-        # At its first report, and after a restart, only the last window is known to be
-        # recent.
-        admitted = in_window
-        if peer.admitted is not None and total >= peer.admitted:
-            admitted = total - peer.admitted
-        peer.admitted = total
+        age_s = max(0.0, now - self._began_at)
+        bucket_fraction = min(1.0, age_s / self._window_s)
+        admitted = peer.receive_admitted(total, in_window, bucket_fraction)
         self._end_overdue(peer)
         self._replace_demand(peer, hundredths / 100)
         self.level = min(self._cap, self.level + peer.predicted - admitted)
--- a/quetzalwall/process/limits/tests/test_allotments.py
+++ b/quetzalwall/process/limits/tests/test_allotments.py
@@ -16,10 +16,10 @@
 MEMBERS = [PeerInfo(name, "north", "north-a", "127.0.0.1") for name in "ab"]
 
 
-def create(own="a", members=MEMBERS[:1], account=ACCOUNT):
+def create(own="a", members=MEMBERS[:1], account=ACCOUNT, started_at=0.0):
     allotments = create_allotments(own, lambda: members, random.Random(1))
     configure(allotments, account)
-    allotments.own_report(0.0)
+    allotments.own_report(started_at)
     return allotments
 
 
@@ -140,3 +140,29 @@
     result = simulate_allotment(pattern, 1)
     assert result.max_fraction <= 1
     assert result.used_fraction >= MIN_USED_FRACTION
+
+
+# What the others had admitted in the window before the start was taken off the empty
+# bucket: the instance rejected every request of a busy account for 10 s or more,
+# although the account was within its allotment.
+@params(0.5, 0.9)
+def test_started_instance_soon_admits_an_account_within_its_allotment(demand_ratio):
+    account = ACCOUNT._replace(per_s=100.0, burst=50.0)
+    others = create("b", MEMBERS, account)
+    started, started_at = None, 20.0
+    asked = taken = 0
+    for tick in range(300):
+        now = tick / 10
+        for _ in range(round(demand_ratio * 10)):
+            others.try_admit(account, now)
+        report = others.own_report(now)
+        if now == started_at:
+            started = create("a", MEMBERS, account, now)
+        if now >= started_at:
+            others.receive_report("a", started.own_report(now), now)
+            started.receive_report("b", report, now)
+        if started_at + START_S + 1 <= now < started_at + START_S + 4 and tick % 2:
+            asked += 1
+            taken += started.try_admit(account, now) is None
+    assert asked == 15
+    assert taken >= MIN_USED_FRACTION * asked
