Look at the heads of responses without a length that a reset ends

Such a response counts as complete for the parser before the reset is found, so that neither the complete nor the unfinished responses were looked at, and a statement in its head that the endpoint drains was ignored: it went on getting requests. Now the heads of all responses of a failed attempt are looked at. The test fails without the change.

--- a/quetzalwall/connection/endpoint_client.py
+++ b/quetzalwall/connection/endpoint_client.py
@@ -245,10 +245,11 @@
         try:
             response, metadata = self._receive(parser)
         except BaseException:
-            # The head may state something about the endpoint, whatever became of the
-            # rest of the response.
-            if (head := parser.unfinished_head()) is not None:
-                self._client.parse_response(head)
+            # A head may state something about the endpoint, whatever became of the rest
+            # of the response, as after a reset.
+            head = parser.unfinished_head()
+            for response in (*parser.responses, *([head] if head else [])):
+                self._client.parse_response(response)
             raise
         echoed = request_id != "" and metadata.request_id == request_id
         if response.reusable and echoed and self._is_reusable(parser):
--- a/quetzalwall/connection/tests/test_resets.py
+++ b/quetzalwall/connection/tests/test_resets.py
@@ -158,6 +158,28 @@
     assert exchange(serve) == b"early"
 
 
+# What the head of such a response states of the endpoint was ignored, so that one that
+# drains went on getting requests.
+def test_head_of_a_response_that_a_reset_ends_is_looked_at():
+    def serve(sock, address):
+        sock.recv(1000)
+        sock.sendall(head_without_length("Server-Leaving: 1\r\n") + PART)
+        gevent.sleep(0.05)
+        reset(sock)
+
+    parsed = []
+    with running_client(serve) as client:
+        parse = client.parse_response
+        client.parse_response = lambda res: parsed.append(parse(res)) or parsed[-1]
+        req = EndpointRequest("POST", "/x", {ID_HEADER: "a"}, b"x" * LONG, "a", False)
+        try:
+            client.send(req, time.monotonic() + 3.0)
+        except IncompleteAnswer:
+            assert [metadata.draining for metadata in parsed] == [True]
+            return
+    raise AssertionError("got a complete response")
+
+
 # The same for a response of the store or another instance: the error of the reset was
 # taken while the call was sent.
 def test_reset_does_not_complete_the_response_to_a_json_call():
