Make the longest waiting time and the shortened value usable by checks

Cause: a check of configurations needs the 30 s that an instance waits at most, and the form in which faults show a value. Both were private to other modules.

Change: `MAX_TIMEOUT_S` moves from the request reader to `version/model.py`, so that the check doesn't import the code that serves requests; `shorten_value` is public. No behaviour changes.

--- a/quetzalwall/request/request_reader.py
+++ b/quetzalwall/request/request_reader.py
@@ -8,13 +8,12 @@
 from quetzalwall.request.request import Request, object_hash
 from quetzalwall.request.request_log import log_no_route, log_unknown_key
 from quetzalwall.version.accounts import route_for_account
-from quetzalwall.version.model import find_route
+from quetzalwall.version.model import MAX_TIMEOUT_S, find_route
 
 __all__ = ["Refused", "RequestReader", "UnknownKey", "create_request_reader"]
 
 # Of the WSGI environment: the active configuration and the route; None without one.
 MATCH_KEY = "quetzalwall.match"
-MAX_TIMEOUT_S = 30.0  # of a request, also if neither caller nor route sets one
 NO_CONFIG = Rejection("no configuration", 0.5)  # until one was read
 NO_REGION = Rejection("no region", 1.0)  # that both the route and the account allow
 NO_ROOM_IN_MEMORY = Rejection("no memory", 1.0)  # while the memory budget is used up
--- a/quetzalwall/version/check.py
+++ b/quetzalwall/version/check.py
@@ -14,6 +14,7 @@
     "check_tree",
     "load_json",
     "require_valid_tree",
+    "shorten_value",
 ]
 
 MAX_VALUE_CHARACTERS = 80  # of a wrong value shown to the operator
@@ -91,7 +92,7 @@
     /desk/regoins unknown key; nearest known key is "regions"
     """
     if not isinstance(tree, dict):
-        return [Fault(file, "/", _shorten(tree), "must be an object of teams")]
+        return [Fault(file, "/", shorten_value(tree), "must be an object of teams")]
     faults = []
     for team, subtree in sorted(tree.items()):
         faults += _schema_faults(subtree, SUBTREE_SCHEMA, file, (team,))
@@ -140,14 +141,16 @@
 def _faults_from_error(error, file, team_path):
     path = "/" + "/".join(str(part) for part in (*team_path, *error.absolute_path))
     if error.validator != "additionalProperties":
-        return [Fault(file, path, _shorten(error.instance), _schema_message(error))]
+        return [
+            Fault(file, path, shorten_value(error.instance), _schema_message(error))
+        ]
     known = sorted(error.schema["properties"])
     unknown = [key for key in error.instance if key not in known]
     return [
         Fault(
             file,
             f"{path.rstrip('/')}/{key}",
-            _shorten(error.instance[key]),
+            shorten_value(error.instance[key]),
             _unknown_key_message(key, known),
         )
         for key in unknown
@@ -165,7 +168,18 @@
     return error.message[-200:]
 
 
-def _shorten(value):
+def shorten_value(value):
+    """Return a value as JSON, truncated for a message.
+
+    Parameters
+    ----------
+    value : object
+        Decoded JSON.
+
+    Returns
+    -------
+    str
+    """
     text = json.dumps(value, default=str)
     if len(text) <= MAX_VALUE_CHARACTERS:
         return text
--- a/quetzalwall/version/model.py
+++ b/quetzalwall/version/model.py
@@ -9,12 +9,15 @@
     "EndpointEntry",
     "HostRoutes",
     "Limits",
+    "MAX_TIMEOUT_S",
     "Route",
     "Service",
     "Shift",
     "find_route",
 ]
 
+MAX_TIMEOUT_S = 30.0  # of a request, also if neither caller nor route sets one
+
 
 class Limits(NamedTuple):
     """Limits on callers.
