Add the command that checks a configuration before it is sent

Cause: `settings check` knows only the settings tree, gives no warnings and compares nothing; configurations in rows could not be checked at all.

--- a/quetzalwall/cli/main.py
+++ b/quetzalwall/cli/main.py
@@ -8,7 +8,7 @@
 
 __all__ = ["create_parser", "main"]
 
-COMMANDS = ("front", "settings", "shift", "drain", "status", "lookup")
+COMMANDS = ("front", "settings", "config", "shift", "drain", "status", "lookup")
 
 
 def create_parser(names=COMMANDS):
--- a/quetzalwall/cli/tests/test_imports.py
+++ b/quetzalwall/cli/tests/test_imports.py
@@ -1,7 +1,7 @@
 import subprocess
 import sys
 
-OTHER_COMMANDS = ("settings", "shift", "drain", "status", "lookup")
+OTHER_COMMANDS = ("settings", "config", "shift", "drain", "status", "lookup")
 PROGRAM = """
 import sys
 from quetzalwall.cli.main import create_parser, main
