--- a/quetzalwall/platform/tests/test_config_review.py
+++ b/quetzalwall/platform/tests/test_config_review.py
@@ -174,6 +174,24 @@
     assert paths == ["/tenants/0/burst", "/tenants/0/allowedRegions"]
 
 
+# An account is not asked for on a public route, so its regions don't matter there.
+def test_regions_of_public_routes_are_not_compared_with_those_of_accounts():
+    body = account_config(accounts=[account_row(regions=["south"])])
+    rows, columns = body["routes"]["rows"], body["routes"]["columns"]
+    rows[2][columns.index("allowedRegions")] = ["north"]
+    assert "/tenants/0/allowedRegions" not in warnings_of(body)
+    rows[2][columns.index("public")] = False
+    assert "/tenants/0/allowedRegions" in warnings_of(body)
+
+
+# The decoder sorts routes by prefix; a warning would name the row of another route.
+def test_a_warning_names_the_row_of_its_route():
+    other = {"prefix": "/longer/", "hostname": "Other.example"}
+    slow = {"prefix": "/longest/", "timeout": "31s"}
+    body = with_routes({"prefix": "/"}, other, slow, {"prefix": "/long/"})
+    assert list(warnings_of(body)) == ["/routes/2/timeout"]
+
+
 # The request for exactly the shorter prefix is left to it, whatever the longer ones.
 def test_longer_prefixes_never_take_all_paths_of_a_shorter_one():
     body = with_routes({"prefix": "/a"}, {"prefix": "/a/"}, {"prefix": "/ab"})
