Name the sender in a quarter of the rare reports, and pause calls of a start

Cause: reports to the 80 instances of other regions are sent every 2 s at 121 instances, and each named its sender, as names are sent once a second. While no peer is heard yet, each instance that starts calls the store four times a second for each table.

Change: at most one report in four names its sender; two of them do for a new peer. Until a report has arrived, calls to the store in a large fleet are 0.7 s apart.

--- a/quetzalwall/process/cluster/fleet.py
+++ b/quetzalwall/process/cluster/fleet.py
@@ -16,7 +16,6 @@
 from quetzalwall.process.cluster.report_group import (
     LOOKUP_TIMEOUT_S,
     MIN_REPORT_PERIOD_S,
-    NEW_PEER_S,
     UNRESPONSIVE_AFTER_S,
 )
 from quetzalwall.process.cluster.report_groups import ReportGroups
@@ -223,7 +222,7 @@
         peer.info = sender
         if peer.unresponsive or report.process_id != peer.process_id:
             group = self._report_groups.of_region(sender.region)
-            group.new_peer_until = now + NEW_PEER_S
+            group.record_new_peer(now)
         if report.process_id != peer.process_id:
             self._identities.replace(peer.former_process_id, report)
             peer.former_process_id, peer.process_id = peer.process_id, report.process_id
--- a/quetzalwall/process/cluster/report_group.py
+++ b/quetzalwall/process/cluster/report_group.py
@@ -7,7 +7,6 @@
     "LOOKUP_TIMEOUT_S",
     "MAX_NEWS_WAIT_S",
     "MIN_REPORT_PERIOD_S",
-    "NEW_PEER_S",
     "UNRESPONSIVE_AFTER_S",
     "ReportGroup",
 ]
@@ -20,7 +19,10 @@
 MAX_NEWS_WAIT_S = 0.3
 PROBE_INTERVAL_S = 1.0  # between reports to an unresponsive peer
 IDENTITY_PERIOD_S = 1.0  # between two reports that name their sender
-NEW_PEER_S = 1.0  # for so long each report to the group of a new peer names its sender
+MIN_IDENTITY_REPORTS = 4  # one in so many names its sender, where reports are rare
+# For so long, and for so many reports, the group of a new peer is told the sender.
+NEW_PEER_S = 1.0
+NEW_PEER_REPORTS = 2
 UNRESPONSIVE_AFTER_S = 1.5  # without a report, where peers report often
 UNRESPONSIVE_PERIODS = 6  # periods without a report, where that is longer
 # Look-ups leave out an instance without a report for so long; it may still be running.
@@ -106,11 +108,22 @@
         self.last_sent_at = now - phase * self.period_s() if first else now
         self.cached.clear()
 
+    def record_new_peer(self, now):
+        """Record that a peer has appeared that may not know the sender of reports.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        """
+        self.new_peer_until = now + max(NEW_PEER_S, NEW_PEER_REPORTS * self.period_s())
+
     def names_sender(self, now):
         """Return whether the report that is sent now names its sender.
 
         The names and the address of the sender are most of a small report, so only some
-        reports contain them: those to new peers, and one each `IDENTITY_PERIOD_S`.
+        reports contain them: those to new peers, and one each `IDENTITY_PERIOD_S`, but
+        at most one in `MIN_IDENTITY_REPORTS`.
 
         Parameters
         ----------
@@ -121,7 +134,10 @@
         -------
         bool
         """
-        if now > self.new_peer_until and now < self._identified_at + IDENTITY_PERIOD_S:
+        interval_s = max(IDENTITY_PERIOD_S, MIN_IDENTITY_REPORTS * self.period_s())
+        # Half a tick less, since reports are sent at the ticks of a timer.
+        interval_s -= MIN_REPORT_PERIOD_S / 2
+        if now > self.new_peer_until and now < self._identified_at + interval_s:
             return False
         self._identified_at = now
         return True
--- a/quetzalwall/process/cluster/store_readers.py
+++ b/quetzalwall/process/cluster/store_readers.py
@@ -1,6 +1,12 @@
 """Which instances read the store, and which have newer tables than this one."""
 
-__all__ = ["peers_ahead", "is_first_reader", "follows_store", "known_version"]
+__all__ = [
+    "follows_store",
+    "has_heard_peers",
+    "is_first_reader",
+    "known_version",
+    "peers_ahead",
+]
 
 READERS_PER_REGION = 2  # instances that follow the store on behalf of their region
 ALL_READ_BELOW = 8  # other instances; in a smaller fleet each follows the store
@@ -33,6 +39,24 @@
     return True
 
 
+def has_heard_peers(fleet):
+    """Return whether it is known which instances read the store for others.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        The instances.
+
+    Returns
+    -------
+    bool
+        In a large fleet, only once a report of another instance has arrived.
+    """
+    if fleet.peer_count() < ALL_READ_BELOW:
+        return True
+    return any(not peer.unresponsive for peer in fleet.peers())
+
+
 def is_first_reader(fleet):
     """Return whether no other instance that reaches the store precedes this one.
 
--- a/quetzalwall/process/cluster/store_watch.py
+++ b/quetzalwall/process/cluster/store_watch.py
@@ -15,6 +15,7 @@
 from quetzalwall.platform.store import HistoryGone
 from quetzalwall.process.cluster.store_readers import (
     follows_store,
+    has_heard_peers,
     is_first_reader,
     known_version,
     peers_ahead,
@@ -27,6 +28,9 @@
 FIRST_READER_LONG_POLL_S = 1.0  # for the reader whose confirmations all others rely on
 PEER_CHECK_INTERVAL_S = 0.1
 CALL_PAUSE_S = 0.25  # between calls, so that one call returns several changes
+# The same in a large fleet until a peer was heard: endpoints register all the time, so
+# that each call returns at once, and all instances that start together make such calls.
+START_PAUSE_S = 0.7
 RETRY_DELAY_MIN_S = 0.2
 RETRY_DELAY_MAX_S = 0.5
 RETRY_DELAY_PER_PEER_S = 0.01  # raises the maximum where other instances read the store
@@ -164,7 +168,7 @@
             self._call(
                 self._long_poll_s() if follows and not self.last_call_failed else 0
             )
-            gevent.sleep(CALL_PAUSE_S)
+            gevent.sleep(self._pause_s())
         except HistoryGone:
             log_event(LOG, "history-gone", "warning", table=self._table)
             self._read_all = True
@@ -207,6 +211,11 @@
     def _rejects_when_stale(self):
         return self._freshness is not None and self._freshness.fail_closed
 
+    def _pause_s(self):
+        if has_heard_peers(self._fleet):
+            return CALL_PAUSE_S
+        return START_PAUSE_S
+
     def _long_poll_s(self):
         # Twice a long poll of 2 s and the time between them would reach `revoke`.
         if self._rejects_when_stale() or is_first_reader(self._fleet):
--- a/quetzalwall/process/cluster/tests/test_sender_identities.py
+++ b/quetzalwall/process/cluster/tests/test_sender_identities.py
@@ -18,14 +18,14 @@
 class Network:
     """Fleets that exchange reports, of which some are lost."""
 
-    def __init__(self, loss=0.0):
+    def __init__(self, loss=0.0, regions=REGIONS):
         self.clock = ManualClock()
         self.loss = loss
         self.rng = random.Random(1)
         self.sizes = {True: [], False: []}  # by whether the sender is named
         infos = [
             PeerInfo(f"front-{n}", region, f"{region}-a", f"127.0.0.{n + 1}")
-            for n, region in enumerate(REGIONS)
+            for n, region in enumerate(regions)
         ]
         self.fleets = {info.host: self.create(info) for info in infos}
         for fleet in self.fleets.values():
@@ -111,3 +111,21 @@
     for report in late:
         observer.receive(report, network.clock.now)
     assert (peer.process_id, peer.sequence) == before
+
+
+# Reports to other regions of a large fleet are rarer than one a second, so that each
+# named its sender, and the names were a third of the bytes between regions.
+def test_rare_reports_to_other_regions_do_not_all_name_their_sender():
+    network = Network(regions=("north",) * 2 + ("south",) * 60)
+    network.run(12.0)
+    assert network.live_counts() == [62] * 62
+    named, deliver = [], network.deliver
+
+    def record(raw, recipients):
+        if recipients and len(recipients) == 60:
+            named.append(decode_report(raw).sender is not None)
+        deliver(raw, recipients)
+
+    network.deliver = record
+    network.run(30.0)
+    assert named.count(False) > 2 * named.count(True)
--- a/quetzalwall/process/cluster/tests/test_store_watch.py
+++ b/quetzalwall/process/cluster/tests/test_store_watch.py
@@ -136,6 +136,36 @@
         watch.close()
 
 
+# All instances of a large fleet that start together follow the store until they have
+# heard of one another. Each call returned at once, since endpoints register all the
+# time, and each instance made four calls a second for each table.
+def test_an_instance_that_has_just_started_makes_few_calls_to_the_store():
+    fleet = create_fleet_with_peers([own_address(n) for n in range(12)], 0)
+    for peer in fleet.peers():
+        peer.unresponsive = True
+    calls = []
+
+    def follow(table, after, wait_s):
+        calls.append(after)
+        return Rows([RowChange("ep-1", b"", after + 1)], after + 1)
+
+    watch = create_table_watch(
+        SimpleNamespace(read=lambda table: Rows([], 5), follow=follow),
+        TABLE,
+        lambda rows, complete, after_outage: None,
+        lambda after: None,
+        fleet,
+        system_clock().monotonic,
+    )
+    watch.start()
+    try:
+        wait_for(lambda: calls, 2.5)
+        gevent.sleep(2.0)
+    finally:
+        watch.close()
+    assert len(calls) <= 4, calls
+
+
 # An instance that lagged behind long-polled the store on a connection that gave no
 # response for 3.7 s, and asked nobody else meanwhile (incident DRAIN).
 def test_instance_that_lags_behind_does_not_long_poll_the_store():
