Ask a slow store without a wait where keys depend on its responses

A response that arrives over 0.5 s after the end of its wait proves only the moment at which the call was sent. At a store that takes 1.1 to 1.2 s a call (the time-out is 1.2 s) two calls with a wait of 1 s and the pause between them are longer than the 4.4 s for which keys are accepted, so that a reader without proofs of others rejected valid keys. Now it asks for no wait after such a call, until one is in time again.

Computed for one reader: largest age 4.45 s at 1.1 s a call, 4.55 s at 1.15 s. The test drives the watch at 0.004, 0.6, 1.0 and 1.19 s a call: the last case fails without the change, all pass with it, as do the tests of the watch and of freshness (42).

--- a/quetzalwall/process/cluster/store_watch.py
+++ b/quetzalwall/process/cluster/store_watch.py
@@ -13,6 +13,7 @@
 from quetzalwall.logs import get_logger, log_event
 from quetzalwall.platform.rows import OPERATOR_TABLE
 from quetzalwall.platform.store import HistoryGone
+from quetzalwall.process.cluster.freshness import MAX_LATE_RESPONSE_S
 from quetzalwall.process.cluster.store_readers import (
     follows_store,
     is_first_reader,
@@ -85,6 +86,7 @@
         self._retry_delay_s = RETRY_DELAY_MIN_S
         self._last_followed = -math.inf
         self._called_at = None
+        self._is_slow = False  # the last call took longer than its wait and some
         self._behind_since = None
         self._freshness = None
         if table == OPERATOR_TABLE:
@@ -208,6 +210,9 @@
         return self._freshness is not None and self._freshness.fail_closed
 
     def _long_poll_s(self):
+        if self._rejects_when_stale() and self._is_slow:
+            # A late response proves its call only; two with a wait reach `revoke`.
+            return 0
         # Twice a long poll of 2 s and the time between them would reach `revoke`.
         if self._rejects_when_stale() or is_first_reader(self._fleet):
             return FIRST_READER_LONG_POLL_S
@@ -220,7 +225,8 @@
             rows = self._store.read(self._table)
         else:
             rows = self._store.follow(self._table, after, wait_s)
-        self._called_at = None
+        called_s, self._called_at = self._call_s(), None
+        self._is_slow = called_s > MAX_LATE_RESPONSE_S + (0 if complete else wait_s)
         after_outage = self.in_outage()
         self._record_response()
         # If applying them fails, `_version` is unchanged and they are read again.
--- a/quetzalwall/process/cluster/tests/test_freshness.py
+++ b/quetzalwall/process/cluster/tests/test_freshness.py
@@ -9,6 +9,7 @@
 from nose2.tools import params
 
 from quetzalwall.clock import system_clock
+from quetzalwall.platform.rows import OPERATOR_TABLE
 from quetzalwall.platform.settings import Bounds
 from quetzalwall.platform.store import Rows
 from quetzalwall.platform.store_era import combine_version
@@ -33,6 +34,7 @@
 from quetzalwall.tests.platform_fixtures import ManualClock, free_ports, own_address
 
 CLOSED = Bounds(fail_closed=True)
+MEMBER = PeerInfo("a", "north", "north-a", "127.0.0.1")
 REGIONS = 3
 CALL_S = 0.1  # of a call beyond its wait, between regions
 TRANSIT_S = 0.04  # of a report within a region
@@ -255,3 +257,30 @@
     finally:
         receiver.close()
         sender.close()
+
+
+# A late response proves only when its call was sent. With the wait of a long poll, two
+# such calls in a row took longer than the bound, and valid keys were rejected.
+@params(0.004, 0.6, 1.0, 1.19)
+def test_one_reader_of_a_slow_store_is_never_stale(call_s):
+    clock, ages_s = ManualClock(), []
+    fleet = create_fleet(MEMBER, 1, None, clock.monotonic, 7)
+    freshness = fleet.table_updates.freshness
+    freshness.configure(CLOSED)
+
+    def follow(table, after, wait_s):
+        clock.now += wait_s + call_s
+        ages_s.append(freshness.age_s())
+        return Rows([], 1)
+
+    def read(table):
+        return follow(table, 0, 0.0)
+
+    store = SimpleNamespace(read=read, follow=follow)
+    watch = create_table_watch(
+        store, OPERATOR_TABLE, lambda *_: None, None, fleet, clock.monotonic
+    )
+    for _ in range(20):
+        watch._call(watch._long_poll_s())
+        clock.now += CALL_PAUSE_S
+    assert max(ages_s[1:]) < CLOSED.revoke_s - MARGIN_S
