Move the index of endpoints by service out of the endpoint table

Change: `process/cluster/service_index.py` keeps the endpoints of each service, those that may get requests and the ranks of objects. Behaviour is unchanged.

--- a/quetzalwall/process/cluster/endpoint_table.py
+++ b/quetzalwall/process/cluster/endpoint_table.py
@@ -7,7 +7,7 @@
 from quetzalwall.process.cluster.endpoint_code import endpoint_code
 from quetzalwall.process.cluster.endpoint_factory import create_endpoint_state
 from quetzalwall.process.cluster.endpoint_log import log_endpoint_change
-from quetzalwall.process.cluster.object_ranks import ObjectRanks
+from quetzalwall.process.cluster.service_index import ServiceIndex
 
 __all__ = ["EndpointTable", "create_endpoint_table"]
 
@@ -51,16 +51,14 @@
         self._parse_response = parse_response
         self._monotonic = monotonic
         self._states = {}
-        self._by_service = {}
+        self._by_service = ServiceIndex(self.is_routable)
         self.addresses = EndpointAddresses(
-            lambda state: self._invalidate_routable(state.entry.service)
+            lambda state: self._by_service.invalidate(state.entry.service)
         )
-        self._routable = {}
-        self._ranks = ObjectRanks()
         self._by_code = {}
         self._expired = set()
         self.draining_signals = DrainingSignals(
-            self, self._invalidate_routable, monotonic
+            self, self._by_service.invalidate, monotonic
         )
         self.removal_count = 0
 
@@ -119,11 +117,7 @@
         -------
         list of EndpointState
         """
-        found = self._routable.get(service)
-        if found is None:
-            states = self._by_service.get(service, {}).values()
-            found = self._routable[service] = [s for s in states if self.is_routable(s)]
-        return found.copy()
+        return self._by_service.routable(service).copy()
 
     def is_routable(self, state):
         """Return whether an endpoint may get new requests: usable and not evacuated.
@@ -153,7 +147,7 @@
         """
         return sum(
             state.own_in_flight
-            for state in self._by_service.get(service, {}).values()
+            for state in self._by_service.states(service)
             if state.region == region
         )
 
@@ -175,14 +169,7 @@
         dict of str to int
             Rank by identity, from 0 to at most `ENDPOINTS_PER_OBJECT` - 1.
         """
-        ranks = self._ranks.get(service, object_key)
-        if ranks is not None:
-            return ranks
-        groups = {}
-        for state in self.routable_endpoints(service):
-            place = state.region == region, state.entry.domain == domain
-            groups.setdefault(place, []).append(state.name)
-        return self._ranks.add(service, object_key, *groups.values())
+        return self._by_service.preferred_ranks(service, object_key, region, domain)
 
     def put(self, entry, log=True):
         """Add or update an endpoint by its registry entry.
@@ -212,11 +199,10 @@
             self.addresses.refresh(state)
         state.record_cold(entry.cold_s, self._monotonic())
         if old.service != entry.service:
-            _discard(self._by_service, old.service, entry.name)
-            self._invalidate_routable(old.service)
-            self._index(state)
+            self._by_service.discard(old.service, entry.name)
+            self._by_service.add(state)
         if returned or old.draining != entry.draining or old.domain != entry.domain:
-            self._invalidate_routable(entry.service)
+            self._by_service.invalidate(entry.service)
         if old.draining != entry.draining or old.service != entry.service:
             log_endpoint_change("leaving" if entry.draining else "changed", entry)
 
@@ -255,7 +241,7 @@
         state = self._states.get(name)
         if state is not None and state.registered:
             state.registered, state.grace_until = False, None
-            self._invalidate_routable(state.entry.service)
+            self._by_service.invalidate(state.entry.service)
             self.addresses.refresh(state)
             log_endpoint_change("spoiled", state.entry)
 
@@ -314,8 +300,7 @@
             if state.entry.domain in returned:
                 # Without requests they have lost their warm caches.
                 state.record_cold(cold_s(state.entry.service), now)
-        self._ranks.clear()
-        self._routable.clear()
+        self._by_service.invalidate_all()
 
     def close(self):
         """Close the connections to all endpoints."""
@@ -340,7 +325,7 @@
         # A restarted endpoint keeps its position in the order of `_states`.
         self._states[entry.name] = state
         self._by_code[endpoint_code(entry.name)] = state
-        self._index(state)
+        self._by_service.add(state)
         self.draining_signals.attach(state)
 
     def _forget(self, state):
@@ -353,27 +338,10 @@
         self._unindex(state)
         log_endpoint_change("gone", state.entry)
 
-    def _index(self, state):
-        self._by_service.setdefault(state.entry.service, {})[state.name] = state
-        self._invalidate_routable(state.entry.service)
-
     def _unindex(self, state):
         """Remove a state from the indexes by address and by service."""
-        entry = state.entry
         self.addresses.remove(state)
-        _discard(self._by_service, entry.service, entry.name)
-        self._invalidate_routable(entry.service)
-
-    def _invalidate_routable(self, service):
-        self._routable.pop(service, None)
-        self._ranks.clear()
-
-
-def _discard(index, key, name):
-    states = index[key]
-    states.pop(name, None)
-    if not states:
-        del index[key]
+        self._by_service.discard(state.entry.service, state.name)
 
 
 def create_endpoint_table(domains, parse_response, monotonic):
