Move the reported slowness out of the endpoint state

Change: `process/cluster/reported_slowness.py` keeps the latest slowness of an endpoint and its decay; reports to peers read it there. Behaviour is unchanged.

--- a/quetzalwall/process/cluster/endpoint_state.py
+++ b/quetzalwall/process/cluster/endpoint_state.py
@@ -4,10 +4,10 @@
 from collections import OrderedDict
 
 from quetzalwall.process.cluster.endpoint_log import log_odd_pause, log_pause
+from quetzalwall.process.cluster.reported_slowness import ReportedSlowness
 
 __all__ = ["EndpointState"]
 
-SLOWNESS_DECAY_S = 0.6  # about as long as a noisy neighbour stays
 MIN_AVOID_S = 0.5
 MAX_AVOID_S = 4.0
 FAILURES_TO_AVOID = 2
@@ -67,6 +67,8 @@
         Monotonic seconds until which it asks this instance for no requests.
     pause_stated_at : float
         Monotonic seconds of its last response that asked so.
+    reported_slowness : ReportedSlowness
+        The slowness in its latest response.
     """
 
     def __init__(self, entry, region, client, now):
@@ -89,10 +91,8 @@
         self.on_draining = None
         self.paused_until = -math.inf
         self.pause_stated_at = -math.inf
+        self.reported_slowness = ReportedSlowness()
         self._odd_pause = ""
-        self._slowness = 1.0
-        self._slowness_at = -math.inf
-        self._slowness_own = False
         self._failures = 0
         self._avoid_s = MIN_AVOID_S
         self._avoid_until = -math.inf
@@ -265,10 +265,7 @@
         float
             Factor by which its work takes longer than usual; 1.0 is usual.
         """
-        age_s = now - self._slowness_at
-        if age_s > 4 * SLOWNESS_DECAY_S:
-            return 1.0
-        return 1.0 + (self._slowness - 1.0) * math.exp(-age_s / SLOWNESS_DECAY_S)
+        return self.reported_slowness.estimate(now)
 
     def record_slowness(self, slowness, at, own=False):
         """Record the slowness in a response of the endpoint.
@@ -283,26 +280,7 @@
             Whether this instance got the response, and so reports it to the others.
         """
         self.record_seen(at)
-        if at > self._slowness_at:
-            self._slowness, self._slowness_at = slowness, at
-            self._slowness_own = own
-
-    def own_slowness_since(self, since):
-        """Return the slowness in a response to this instance after a given time.
-
-        Parameters
-        ----------
-        since : float
-            Monotonic seconds.
-
-        Returns
-        -------
-        (float, float) or None
-            Slowness, and monotonic seconds of the response.
-        """
-        if not self._slowness_own or self._slowness_at <= since:
-            return None
-        return self._slowness, self._slowness_at
+        self.reported_slowness.record(slowness, at, own)
 
     def reuse_distance(self, object_key):
         """Return how many other objects it has served since it last served an object.
--- a/quetzalwall/process/cluster/endpoint_stats.py
+++ b/quetzalwall/process/cluster/endpoint_stats.py
@@ -107,7 +107,7 @@
         for code, state in self._endpoints.codes():
             if state.own_in_flight:
                 in_flight.append((code, state.own_in_flight))
-            own = state.own_slowness_since(since)
+            own = state.reported_slowness.own_since(since)
             if own is not None:
                 slowness.append((code, int(own[0] * 100), int((now - own[1]) * 1000)))
             if state.advertised_limit is not None:
