Move the avoidance of unresponsive endpoints out of the chooser

Change: `request/unresponsive_endpoints.py` decides when an endpoint without responses is avoided. Behaviour is unchanged.

The 165 tests of `quetzalwall.process.cluster` and `quetzalwall.process.limits` pass, as do those of `quetzalwall.request`, `test_front` and `test_endpoint_signals` (80 tests).

--- a/quetzalwall/request/endpoint_chooser.py
+++ b/quetzalwall/request/endpoint_chooser.py
@@ -9,7 +9,6 @@
 from operator import itemgetter
 from typing import NamedTuple
 
-from quetzalwall.logs import get_logger, log_event
 from quetzalwall.process.cluster.object_ranks import ENDPOINTS_PER_OBJECT
 from quetzalwall.process.limits.share import even_share
 from quetzalwall.request.candidate_sample import sample_candidates
@@ -18,6 +17,7 @@
 from quetzalwall.request.paused_endpoints import paused_s
 from quetzalwall.request.queueing_limits import create_queueing_limits
 from quetzalwall.request.reported_load import mean_reported_loads, report_weight
+from quetzalwall.request.unresponsive_endpoints import is_avoided, unresponsive_limit_s
 
 __all__ = ["Chooser", "Choice", "Rejection", "create_chooser"]
 
@@ -29,8 +29,6 @@
 CROWDING_THRESHOLD = 0.5  # fraction of slots in use; above, each one delays others
 CROWDED_SLOT_WEIGHT = 1.0  # further fraction of the work, times the crowding
 CROWDED_PREFERRED_BONUS_S = 0.6  # further bonus, times the crowding
-UNRESPONSIVE_RATIO = 1.5  # of the longest work; no response for longer: avoided
-MIN_UNRESPONSIVE_S = 1.0  # reports of other instances come up to half a second late
 UNTRIED_BONUS_S = 0.3  # off the cost of an idle endpoint that has served no objects yet
 REMOTE_PENALTY_S = 0.1  # for traffic between regions
 # For traffic between failure domains of a region; more than the bonus of a preferred
@@ -42,7 +40,6 @@
 JITTER_S = 0.01  # random part of a cost: smaller differences do not matter
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 2.0
-LOG = get_logger("endpoints")
 
 
 class _RequestCosts(NamedTuple):
@@ -302,7 +299,7 @@
             and (now >= state.cold_until or self._cold_start_allows(cfg, state, now))
         ]
         limit_s = self._unresponsive_limit_s(service)
-        healthy = [state for state in usable if not _is_avoided(state, limit_s, now)]
+        healthy = [state for state in usable if not is_avoided(state, limit_s, now)]
         eligible = healthy or usable
         if region is None:
             return eligible
@@ -326,11 +323,10 @@
             return True
         if state.avoided(now):
             return False
-        return _is_avoided(state, self._unresponsive_limit_s(state.entry.service), now)
+        return is_avoided(state, self._unresponsive_limit_s(state.entry.service), now)
 
     def _unresponsive_limit_s(self, service):
-        longest_s = self._latency.longest_work_s(service)
-        return max(MIN_UNRESPONSIVE_S, UNRESPONSIVE_RATIO * longest_s)
+        return unresponsive_limit_s(self._latency.longest_work_s(service))
 
     def _full_regions(self, service):
         """Return the regions in which this instance uses its whole share of a limit."""
@@ -354,27 +350,6 @@
         return self._cold_limiter.allows(state.name, service.cold_per_s, names, now)
 
 
-def _is_avoided(state, limit_s, now):
-    """Return whether an endpoint is avoided; avoid it from now on if unresponsive."""
-    if state.avoided(now):
-        return True
-    unresponsive_s = state.unresponsive_s(now)
-    if unresponsive_s <= limit_s:
-        return False
-    state.record_unresponsive(now)
-    log_event(
-        LOG,
-        "avoided",
-        "warning",
-        endpoint=state.name,
-        reason="silent",
-        silent_s=unresponsive_s,
-        own=state.own_in_flight,
-        peers=state.peer_in_flight,
-    )
-    return True
-
-
 def _crowding(candidates):
     """Return by how much requests per slot exceed the threshold; 0 up to it."""
     slots = sum(state.entry.slots for state in candidates)
