Define outcomes and states of claims once

Cause: `NOT_RUN_OUTCOMES` was defined in `run_once.py` and `account_admission.py`, the states "claimed" and "not-run" of a claim's row in `claim.py` and `recent_claims.py`; a change of one would have been missed in the other.

Change: the outcomes are beside `RequestResult`; `claim.py` imports the states.

Result: the 74 tests of `quetzalwall.request`, `test_client_accounts` and `test_product_interface` pass.

--- a/quetzalwall/request/account_admission.py
+++ b/quetzalwall/request/account_admission.py
@@ -3,14 +3,13 @@
 import gevent
 
 from quetzalwall.request.choice import FAIRNESS, OVERLOAD
+from quetzalwall.request.request import NOT_RUN_OUTCOMES
 from quetzalwall.request.send_checks import check_caller_connected
 
 __all__ = ["OVER_ALLOTMENT", "AccountAdmission", "create_account_admission"]
 
 OVER_ALLOTMENT = "over allotment"  # reason of the rejection
 ADMITTED = "admitted"
-# Outcomes of requests that no endpoint has run.
-NOT_RUN_OUTCOMES = ("refused", "not-run")
 
 
 class AccountAdmission:
--- a/quetzalwall/request/claim.py
+++ b/quetzalwall/request/claim.py
@@ -14,7 +14,7 @@
 from uuid import uuid4
 
 from quetzalwall.exceptions import NotRun, StoreUnavailable
-from quetzalwall.request.recent_claims import RecentClaims, is_unheld
+from quetzalwall.request.recent_claims import CLAIMED, NOT_RUN, RecentClaims, is_unheld
 
 __all__ = [
     "Claim",
@@ -25,9 +25,7 @@
     "request_digest",
 ]
 
-CLAIMED = "claimed"
 DONE = "done"
-NOT_RUN = "not-run"
 UNKNOWN = "unknown"
 RECORD_TIMEOUT_S = 30.0
 # After the store was restored: until then all instances have reported their claims and
--- a/quetzalwall/request/recent_claims.py
+++ b/quetzalwall/request/recent_claims.py
@@ -9,10 +9,10 @@
 
 from quetzalwall.exceptions import StoreUnavailable
 
-__all__ = ["RecentClaims", "is_unheld"]
+__all__ = ["CLAIMED", "NOT_RUN", "RecentClaims", "is_unheld"]
 
+CLAIMED = "claimed"  # states of a claim in its row
 NOT_RUN = "not-run"
-CLAIMED = "claimed"
 KEPT_S = 600.0
 MAX_CLAIMS = 5000  # without their recorded responses; the oldest are discarded
 REWRITE_TASKS = 32
--- a/quetzalwall/request/request.py
+++ b/quetzalwall/request/request.py
@@ -7,7 +7,15 @@
 from quetzalwall.exceptions import NotRun
 from quetzalwall.request.response import Response
 
-__all__ = ["Request", "RequestResult", "more_severe", "object_hash"]
+__all__ = [
+    "NOT_RUN_OUTCOMES",
+    "Request",
+    "RequestResult",
+    "more_severe",
+    "object_hash",
+]
+
+NOT_RUN_OUTCOMES = ("refused", "not-run")  # of requests that no endpoint has run
 
 
 class Request(NamedTuple):
--- a/quetzalwall/request/run_once.py
+++ b/quetzalwall/request/run_once.py
@@ -3,7 +3,7 @@
 from quetzalwall.connection.http_server import BadRequest
 from quetzalwall.exceptions import IncompleteAnswer, NotRun
 from quetzalwall.request.claim import Claim, RecordedResponse, request_digest
-from quetzalwall.request.request import RequestResult
+from quetzalwall.request.request import NOT_RUN_OUTCOMES, RequestResult
 from quetzalwall.request.request_log import log_rejection
 from quetzalwall.request.response import Response
 
@@ -12,7 +12,6 @@
 CLAIM_TIMEOUT_FRACTION = 0.5  # of the time from arrival to deadline
 REPEATED_HEADER = ("X-Quetzalwall-Repeated", "1")
 MAX_RECORDED_BYTES = 40_000  # of a body; as base64, with headers, it fits a row
-NOT_RUN_OUTCOMES = ("refused", "not-run")
 
 
 def run_once(claims, dialect, req, run):
