Read the share of hedged requests, and count them in the retry budget

Hedged requests need a limit that holds over all instances before any is sent. The setting `hedging` (0 to 0.2, default 0) is read with the other optional settings and again on SIGHUP; a malformed value keeps the former one. The retry budget allows a hedged request only while less than half of it is used, and up to that share of the service's requests in its window.

--- a/quetzalwall/platform/settings.py
+++ b/quetzalwall/platform/settings.py
@@ -6,7 +6,6 @@
 bounds, which have the platform's names in both.
 """
 
-import math
 import os
 import socket
 from typing import NamedTuple
@@ -15,8 +14,8 @@
 
 from quetzalwall.exceptions import SettingsError
 from quetzalwall.logs import get_logger, log_event
+from quetzalwall.platform.bounds import Bounds, read_bound
 from quetzalwall.platform.fields import parse_bounds, settings_from_fields
-from quetzalwall.platform.rows import RowError, parse_duration_s
 from quetzalwall.version.check import Fault, load_json
 
 __all__ = [
@@ -40,6 +39,7 @@
 DEFAULT_LINK_MBPS = 1000.0
 DEFAULT_MEMORY_MB = 300.0
 DEFAULT_DESCRIPTORS = 4096
+MAX_HEDGING = 0.2  # more would load the endpoints as retries may
 LISTENER_NAMES = ("callers", "health", "peers", "lookup", "metrics")
 SCHEMA = {
     "type": "object",
@@ -69,36 +69,14 @@
         "memory_mb": POSITIVE_NUMBER_SCHEMA,
         "connections": {"type": "integer", "minimum": 1},
         "bounds": {"type": "object"},
+        "hedging": {"type": "number", "minimum": 0, "maximum": MAX_HEDGING},
     },
 }
 # Fields with a default. A malformed value of one of them does not prevent the start.
 OPTIONAL_FIELDS = frozenset(
-    ("seeds", "link_mbps", "memory_mb", "connections", "bounds")
+    ("seeds", "link_mbps", "memory_mb", "connections", "bounds", "hedging")
 )
 DEFAULT_METRICS_PORT = 9464
-# The platform's names of bounds, each with the field of `Bounds`.
-DURATION_BOUNDS = {
-    "stable": "stable_s",
-    "drain": "drain_s",
-    "grace": "grace_s",
-    "config": "config_s",
-    "budgetWindow": "retry_window_s",
-    "ttl_max": "lookup_ttl_s",
-    "reuseAfter": "reuse_after_s",
-    "revoke": "revoke_s",
-    "quotaWindow": "quota_window_s",
-}
-NUMBER_BOUNDS = {
-    "retryBudgetRatio": "retry_ratio",
-    "budgetSlack": "retry_slack",
-    "coldOverage": "cold_overage",
-    "coldSlack": "cold_slack",
-    "maxShift": "shift_cap",
-    "quotaOverage": "quota_overage",
-    "quotaSlack": "quota_slack",
-}
-FLAG_BOUNDS = {"failClosed": "fail_closed"}
-FLAGS = {True: True, False: False, "true": True, "false": False}
 
 LOG = get_logger("settings")
 FORMAT_CHECKER = jsonschema.FormatChecker(formats=())
@@ -120,60 +98,6 @@
 VALIDATOR = jsonschema.Draft202012Validator(SCHEMA, format_checker=FORMAT_CHECKER)
 
 
-class Bounds(NamedTuple):
-    """Bounds set by the operators.
-
-    Attributes
-    ----------
-    stable_s : float
-        Seconds without a failure after which a machine counts as reachable.
-    drain_s : float
-        Seconds after which a draining endpoint is sent no more requests.
-    grace_s : float
-        Seconds between the signal to stop and the exit of the process.
-    config_s : float
-        Seconds within which an accepted configuration becomes active.
-    retry_window_s, retry_ratio, retry_slack : float
-        Limit on the retries of a service in any window: ratio times its requests, plus
-        slack.
-    lookup_ttl_s : float
-        Maximum time for which callers may cache a look-up response.
-    reuse_after_s : float
-        Seconds after which an address may be reused by another endpoint.
-    cold_overage, cold_slack : float
-        Limit on the requests to a cold endpoint in any second: its cold rate times
-        overage, plus slack.
-    shift_cap : float
-        Fraction of a region's requests that may change region in 2 s.
-    fail_closed : bool
-        Whether requests with a key are rejected while it is not known that the key is
-        still valid.
-    revoke_s : float
-        Seconds after which a withdrawn key must not be accepted any more.
-    quota_window_s, quota_overage, quota_slack : float
-        Limit on the requests of a client account in any window: its allotment, times 1
-        plus overage, plus slack.
-    """
-
-    stable_s: float = 4.0
-    drain_s: float = 2.5
-    grace_s: float = 6.0
-    config_s: float = 2.5
-    retry_window_s: float = 10.0
-    retry_ratio: float = 0.2
-    retry_slack: float = 60.0
-    lookup_ttl_s: float = 5.0
-    reuse_after_s: float = 2.0
-    cold_overage: float = 1.5
-    cold_slack: float = 5.0
-    shift_cap: float = 0.15
-    fail_closed: bool = False
-    revoke_s: float = 5.0
-    quota_window_s: float = 5.0
-    quota_overage: float = 0.1
-    quota_slack: float = 20.0
-
-
 class Listen(NamedTuple):
     """Addresses that the process listens on, each as (IP address, port)."""
 
@@ -212,6 +136,8 @@
         ``"tree"`` for the product's settings tree.
     bounds : Bounds
         The operators' bounds.
+    hedging : float, default=0.0
+        Maximum share of a service's requests that are hedged; 0 hedges none.
     """
 
     instance: str
@@ -228,6 +154,7 @@
     descriptors: int
     config_source: str
     bounds: Bounds
+    hedging: float = 0.0
 
 
 def settings_path(environ=None):
@@ -255,7 +182,8 @@
     ignored : list of Fault, default=None
         Receives the malformed values of optional fields.
     previous : InstanceSettings, default=None
-        Settings whose seeds and bounds replace malformed ones; defaults if None.
+        Settings whose seeds, bounds and hedging replace malformed ones; defaults if
+        None.
 
     Returns
     -------
@@ -290,16 +218,19 @@
         descriptors=int(body.get("connections", DEFAULT_DESCRIPTORS)),
         config_source=body.get("configuration", FROM_OPERATORS),
         bounds=Bounds(),
+        hedging=float(body.get("hedging", 0.0)),
     )
     ignored_fields = {fault.path.split("/")[1] for fault in ignored}
     if previous is not None and "seeds" in ignored_fields and not settings.seeds:
         settings = settings._replace(seeds=previous.seeds)
+    if previous is not None and "hedging" in ignored_fields:
+        settings = settings._replace(hedging=previous.hedging)
     if previous is not None and "bounds" in ignored_fields and "bounds" not in body:
         return settings._replace(bounds=previous.bounds)
     fallback = previous.bounds if previous is not None else settings.bounds
     bounds = {}
     for name, value in body.get("bounds", {}).items():
-        _read_bound(file, name, value, bounds, fallback, ignored)
+        read_bound(file, name, value, bounds, fallback, ignored)
     return settings._replace(bounds=Bounds(**bounds))
 
 
@@ -382,35 +313,3 @@
 def _fault_from_error(file, error):
     path = "/" + "/".join(str(part) for part in error.absolute_path)
     return Fault(file, path, str(error.instance)[:80], error.message[:160])
-
-
-def _read_bound(file, name, value, bounds, fallback, ignored):
-    """Add one bound to ``bounds``; a malformed one gets its value in ``fallback``."""
-    names = DURATION_BOUNDS | NUMBER_BOUNDS | FLAG_BOUNDS
-    field = names.get(name)
-    if field is None:
-        return
-    try:
-        if name in DURATION_BOUNDS:
-            value = parse_duration_s(value)
-        number = _parse_flag(value) if name in FLAG_BOUNDS else _parse_number(value)
-    except (RowError, TypeError, ValueError) as exc:
-        bounds[field] = getattr(fallback, field)
-        ignored.append(Fault(file, f"/bounds/{name}", str(value), str(exc)))
-    else:
-        bounds[field] = number
-
-
-def _parse_flag(value):
-    if not isinstance(value, bool | str) or value not in FLAGS:
-        raise ValueError("must be true or false")
-    return FLAGS[value]
-
-
-def _parse_number(value):
-    if isinstance(value, bool):
-        raise ValueError("must be a number")
-    number = float(value)
-    if not 0 <= number < math.inf:
-        raise ValueError("must be a finite number of at least 0")
-    return number
--- a/quetzalwall/platform/tests/test_settings.py
+++ b/quetzalwall/platform/tests/test_settings.py
@@ -192,6 +192,19 @@
     assert read_text(render_template(bounds=None), [], previous).bounds == Bounds()
 
 
+# A share beyond the limit, or none at all, must not turn hedging on; a running instance
+# keeps its former share, as with the other optional settings.
+@params(-0.1, 0.3, True, "0.1")
+def test_malformed_share_of_hedged_requests_is_ignored(value):
+    previous = read_text(json.dumps(default_body() | {"hedging": 0.05}))
+    assert previous.hedging == 0.05
+    ignored, text = [], json.dumps(default_body() | {"hedging": value})
+    assert read_text(text, ignored).hedging == 0.0
+    assert [fault.path for fault in ignored] == ["/hedging"]
+    assert read_text(text, [], previous).hedging == 0.05
+    assert read_text(json.dumps(default_body()), [], previous).hedging == 0.0
+
+
 # The template renders null for a value that the platform lacks, and the instance did
 # not start.
 @params("seeds", "link_mbps", "memory_mb", "connections", "bounds", "configuration")
--- a/quetzalwall/process/front.py
+++ b/quetzalwall/process/front.py
@@ -67,6 +67,7 @@
 STOP_POLL_S = 0.05
 FINAL_REQUESTS_S = 0.1  # for requests on the connections that were accepted last
 FINAL_ACCEPT_ROUNDS = 4  # each evicts idle connections so that others are accepted
+RELOADED_SETTINGS = ("bounds", "domains", "seeds", "hedging")
 SIGHUP, SIGINT, SIGTERM = 1, 2, 15
 LOG = get_logger("front")
 
@@ -268,16 +269,15 @@
             return
         log_ignored(ignored)
         self._settings_signature = _file_signature(self._settings_file)
-        self.limits.retry_budget.configure(settings.bounds)
+        self.limits.retry_budget.configure(settings.bounds, settings.hedging)
         self.limits.cold_start_limiter.configure(settings.bounds)
         self._freshness.configure(settings.bounds)
         self.limits.allotments.configure(
             self.cluster_state.configuration(), settings.bounds
         )
         self.endpoints.domains = settings.domains
-        self.settings = self.settings._replace(
-            bounds=settings.bounds, domains=settings.domains, seeds=settings.seeds
-        )
+        fields = {name: getattr(settings, name) for name in RELOADED_SETTINGS}
+        self.settings = self.settings._replace(**fields)
         log_event(LOG, "reloaded", file=self._settings_file)
 
     def _create_watch(self, table):
--- a/quetzalwall/process/front_metrics.py
+++ b/quetzalwall/process/front_metrics.py
@@ -22,6 +22,8 @@
         self._rejections = self._counter("refusals", ["route", "reason"])
         self._failed_attempts = self._counter("attempts_failed", ["service", "kind"])
         self._diversions = self._counter("limited_elsewhere", ["service"])
+        self._hedges = self._counter("hedges", ["service", "result"])
+        self._withheld = self._counter("hedges_withheld", ["service", "reason"])
         self._lookups = self._counter("lookups", [])
         self._account_requests = self._counter(
             "account_requests", ["account", "result"]
@@ -113,6 +115,28 @@
         """
         self._child(self._diversions, service).inc()
 
+    def record_hedge(self, service, result):
+        """Count a hedged request, once when it is sent and once when it ends.
+
+        Parameters
+        ----------
+        service : str
+            Label.
+        result : str
+            Label: ``"sent"``, then ``"won"``, ``"cancelled"`` or ``"failed"``.
+        """
+        self._child(self._hedges, service, result).inc()
+
+    def record_withheld_hedge(self, service, reason):
+        """Count a slow attempt for which no hedged request was sent.
+
+        Parameters
+        ----------
+        service, reason : str
+            Labels.
+        """
+        self._child(self._withheld, service, reason).inc()
+
     def record_dropped(self):
         """Count a request behind the response that closed its connection."""
         self._dropped.inc()
--- a/quetzalwall/process/front_parts.py
+++ b/quetzalwall/process/front_parts.py
@@ -176,7 +176,7 @@
     """
     endpoints, fleet, state, _ = cluster
     limits = FleetLimits(
-        create_retry_budget(settings.bounds),
+        create_retry_budget(settings.bounds, settings.hedging),
         create_cold_start_limiter(settings.instance, settings.bounds),
         create_weighted_split(rng),
         create_traffic_shifts(endpoints, fleet, rng, monotonic),
--- a/quetzalwall/process/limits/retry_budget.py
+++ b/quetzalwall/process/limits/retry_budget.py
@@ -9,6 +9,7 @@
 # margin because requests of one window may be counted in the window before it.
 RATIO_FRACTION = 0.7
 SLACK_FRACTION = 0.5
+HEDGE_FRACTION = 0.5  # of the limit; the rest is left to retries
 
 
 class RetryBudget:
@@ -21,22 +22,29 @@
     ----------
     bounds : Bounds
         Retry ratio, slack and window, which hold over all instances.
+    hedging : float, default=0.0
+        Maximum share of a service's requests that are hedged.
     """
 
-    def __init__(self, bounds):
+    def __init__(self, bounds, hedging=0.0):
         self._bounds = bounds
+        self.hedging = hedging
+        self._hedges = {}
         self._requests = {}
         self._retries = {}
 
-    def configure(self, bounds):
+    def configure(self, bounds, hedging=0.0):
         """Apply new bounds.
 
         Parameters
         ----------
         bounds : Bounds
             Retry ratio and slack; windows that exist already keep their length.
+        hedging : float, default=0.0
+            Maximum share of a service's requests that are hedged.
         """
         self._bounds = bounds
+        self.hedging = hedging
 
     def record_request(self, service, now):
         """Count a request from a caller.
@@ -89,6 +97,46 @@
         retries = self._window(self._retries, service).total(now)
         return retries + 1 <= self._limit(service, now, instances)
 
+    def hedge_obstacle(self, service, now, instances):
+        """Return why no hedged request may be sent, without counting one.
+
+        Parameters
+        ----------
+        service : str
+            Service that the request is for.
+        now : float
+            Monotonic seconds.
+        instances : int
+            Number of instances that divide the slack.
+
+        Returns
+        -------
+        str or None
+            ``"share"`` if the share of hedged requests is reached, ``"budget"`` if half
+            of the retry budget is used, None if one may be sent.
+        """
+        requests = self._window(self._requests, service).total(now)
+        hedges = self._window(self._hedges, service).total(now)
+        if hedges + 1 > self.hedging * requests:
+            return "share"
+        retries = self._window(self._retries, service).total(now)
+        if retries + 1 > HEDGE_FRACTION * self._limit(service, now, instances):
+            return "budget"
+        return None
+
+    def record_hedge(self, service, now):
+        """Count a hedged request, both as such and as a retry.
+
+        Parameters
+        ----------
+        service : str
+            Service that the request is for.
+        now : float
+            Monotonic seconds.
+        """
+        self._window(self._hedges, service).try_add(1, float("inf"), now)
+        self._window(self._retries, service).try_add(1, float("inf"), now)
+
     def _limit(self, service, now, instances):
         requests = self._window(self._requests, service).total(now)
         limit = RATIO_FRACTION * self._bounds.retry_ratio * requests
@@ -102,16 +150,16 @@
         return window
 
 
-def create_retry_budget(bounds):
+def create_retry_budget(bounds, hedging=0.0):
     """Return a budget of which nothing has been used.
 
     Parameters
     ----------
-    bounds : Bounds
+    bounds, hedging
         As of `RetryBudget`.
 
     Returns
     -------
     RetryBudget
     """
-    return RetryBudget(bounds)
+    return RetryBudget(bounds, hedging)
--- a/quetzalwall/process/limits/tests/test_limits.py
+++ b/quetzalwall/process/limits/tests/test_limits.py
@@ -63,6 +63,25 @@
     assert retries > 0
 
 
+# Hedged requests must leave half of the budget to retries, and stay within their share
+# at all instances together.
+@params((0.2, 0.2), (0.02, 0.02), (0.0, 0.0))
+def test_hedges_of_all_instances_stay_within_their_share(share, limit):
+    budgets = [create_retry_budget(BOUNDS, share) for _ in range(7)]
+    hedges = 0
+    for step in range(1000):
+        now, budget = step / 100, budgets[step % 7]
+        budget.record_request("desk", now)
+        if budget.hedge_obstacle("desk", now, 7) is None:
+            budget.record_hedge("desk", now)
+            hedges += 1
+    within = 0.5 * (BOUNDS.retry_ratio * 1000 + BOUNDS.retry_slack)
+    assert hedges <= min(limit * 1000, within) and (hedges > 0) == (share > 0)
+    while budgets[0].try_acquire("desk", 10.0, 7):
+        hedges += 1
+    assert budgets[0].hedge_obstacle("desk", 10.0, 7) in ("share", "budget")
+
+
 @params(((("a", 90.0), ("b", 10.0)),), ((("a", 1.0), ("b", 1.0), ("c", 2.0)),))
 def test_a_split_follows_its_weights(split):
     weighted = create_weighted_split(random.Random(3))
