Hedge late idempotent requests within the retry budget, off by default

A few requests take seven times as long as most, and nothing was done about them until their endpoint counted as unresponsive. An attempt that takes longer than 95% of its route's requests, at the speed and queue of its endpoint, gets a second one at another endpoint of the region that has a free slot and should respond clearly sooner. The first valid response is used, and the other attempt's connection is closed.

The decision is in request/hedging.py, without a network; the two attempts run in request/hedged_attempt.py.

--- a/quetzalwall/request/endpoint_chooser.py
+++ b/quetzalwall/request/endpoint_chooser.py
@@ -9,15 +9,19 @@
 from operator import itemgetter
 from typing import NamedTuple
 
-from quetzalwall.logs import get_logger, log_event
 from quetzalwall.process.cluster.object_ranks import ENDPOINTS_PER_OBJECT
 from quetzalwall.process.limits.share import even_share
+from quetzalwall.request.avoided_endpoints import has_free_slot, is_avoided
 from quetzalwall.request.candidate_sample import sample_candidates
 from quetzalwall.request.choice import OVERLOAD, STOPPING, Choice, Rejection
 from quetzalwall.request.latency_model import queueing_delay_s
 from quetzalwall.request.paused_endpoints import paused_s
 from quetzalwall.request.queueing_limits import create_queueing_limits
-from quetzalwall.request.reported_load import mean_reported_loads, report_weight
+from quetzalwall.request.reported_load import (
+    crowding_of,
+    mean_reported_loads,
+    report_weight,
+)
 
 __all__ = ["Chooser", "Choice", "Rejection", "create_chooser"]
 
@@ -26,7 +30,6 @@
 PREFERRED_BONUS_S = 0.25
 SLOT_WEIGHT = 0.7  # fraction of the work added to the cost: it delays later requests
 CONNECT_PENALTY_S = 0.015  # if a new connection is needed
-CROWDING_THRESHOLD = 0.5  # fraction of slots in use; above, each one delays others
 CROWDED_SLOT_WEIGHT = 1.0  # further fraction of the work, times the crowding
 CROWDED_PREFERRED_BONUS_S = 0.6  # further bonus, times the crowding
 UNRESPONSIVE_RATIO = 1.5  # of the longest work; no response for longer: avoided
@@ -42,7 +45,6 @@
 JITTER_S = 0.01  # random part of a cost: smaller differences do not matter
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 2.0
-LOG = get_logger("endpoints")
 
 
 class _RequestCosts(NamedTuple):
@@ -162,10 +164,31 @@
             return rejection
         if choice.state.cold(now):
             self._cold_limiter.record_request(choice.state.name, now)
+        self.record_limited(choice, now)
+        return choice
+
+    def hedge_choices(self, req, now, tried):
+        """Return a `Choice` for each endpoint that may get a hedge and has a free slot.
+
+        They are in this region, since caps on moves between regions count no hedges.
+        """
+        cfg, route, service = req.cfg, req.route, req.service
+        states = self._endpoints.routable_endpoints(service)
+        eligible = self._eligible(cfg, route, service, now, tried, states, self._region)
+        free = [s for s in eligible if has_free_slot(s, now, FREE_FRACTION)]
+        free = [state for state in free if self._limit_allows(state, now)]
+        if not free:
+            return []
+        costs, rank = self._request_costs(route, service, free), ENDPOINTS_PER_OBJECT
+        key = req.object_key
+        estimates = [(s, self._estimate(costs, s, rank, key, now)) for s in free]
+        return [Choice(state, rank, *e[1:], len(free)) for state, e in estimates]
+
+    def record_limited(self, choice, now):
+        """Count a request that is sent to an endpoint with an advertised limit."""
         if choice.state.advertised_limit is not None:
             choice.state.advertised_limit.record_demand(now)
             choice.state.advertised_limit.record_sent(now)
-        return choice
 
     def _limit_allows(self, state, now):
         """Return whether an endpoint's advertised limit allows a request from here."""
@@ -216,7 +239,7 @@
         return choice.expected_s + choice.slowness * max(0.0, excess_s) <= stop_s
 
     def _request_costs(self, route, service, candidates):
-        latency, crowding = self._latency, _crowding(candidates)
+        latency, crowding = self._latency, crowding_of(candidates)
         slot_time_s = latency.slot_time_s(service)
         mean_loads = mean_reported_loads(candidates)
         report_age_s = self._fleet.report_age_s
@@ -302,7 +325,7 @@
             and (now >= state.cold_until or self._cold_start_allows(cfg, state, now))
         ]
         limit_s = self._unresponsive_limit_s(service)
-        healthy = [state for state in usable if not _is_avoided(state, limit_s, now)]
+        healthy = [state for state in usable if not is_avoided(state, limit_s, now)]
         eligible = healthy or usable
         if region is None:
             return eligible
@@ -326,7 +349,7 @@
             return True
         if state.avoided(now):
             return False
-        return _is_avoided(state, self._unresponsive_limit_s(state.entry.service), now)
+        return is_avoided(state, self._unresponsive_limit_s(state.entry.service), now)
 
     def _unresponsive_limit_s(self, service):
         longest_s = self._latency.longest_work_s(service)
@@ -354,34 +377,6 @@
         return self._cold_limiter.allows(state.name, service.cold_per_s, names, now)
 
 
-def _is_avoided(state, limit_s, now):
-    """Return whether an endpoint is avoided; avoid it from now on if unresponsive."""
-    if state.avoided(now):
-        return True
-    unresponsive_s = state.unresponsive_s(now)
-    if unresponsive_s <= limit_s:
-        return False
-    state.record_unresponsive(now)
-    log_event(
-        LOG,
-        "avoided",
-        "warning",
-        endpoint=state.name,
-        reason="silent",
-        silent_s=unresponsive_s,
-        own=state.own_in_flight,
-        peers=state.peer_in_flight,
-    )
-    return True
-
-
-def _crowding(candidates):
-    """Return by how much requests per slot exceed the threshold; 0 up to it."""
-    slots = sum(state.entry.slots for state in candidates)
-    used = sum(state.in_flight() for state in candidates)
-    return max(0.0, used / slots - CROWDING_THRESHOLD)
-
-
 def _retry_after_s(wait_s):
     return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
 
--- a/quetzalwall/request/reported_load.py
+++ b/quetzalwall/request/reported_load.py
@@ -7,7 +7,8 @@
 
 import math
 
-__all__ = ["mean_reported_loads", "report_weight"]
+__all__ = ["crowding_of", "mean_reported_loads", "report_weight"]
+CROWDING_THRESHOLD = 0.5  # fraction of slots in use; above, each one delays others
 
 
 def report_weight(age_s, slot_time_s):
@@ -54,3 +55,20 @@
         slots[region] = slots.get(region, 0) + state.entry.slots
         loads[region] = loads.get(region, 0) + state.peer_in_flight
     return {region: loads[region] / slots[region] for region in slots}
+
+
+def crowding_of(candidates):
+    """Return by how much requests per slot exceed the threshold; 0 up to it.
+
+    Parameters
+    ----------
+    candidates : sequence of EndpointState
+        The endpoints.
+
+    Returns
+    -------
+    float
+    """
+    slots = sum(state.entry.slots for state in candidates)
+    used = sum(state.in_flight() for state in candidates)
+    return max(0.0, used / slots - CROWDING_THRESHOLD)
--- a/quetzalwall/request/request_log.py
+++ b/quetzalwall/request/request_log.py
@@ -8,6 +8,7 @@
     "log_dropped",
     "log_failure",
     "log_finish",
+    "log_hedge_won",
     "log_no_route",
     "log_rejection",
     "log_unknown_key",
@@ -211,3 +212,29 @@
         took_s=took_s,
         target_s=req.route.target_s,
     )
+
+
+def log_hedge_won(req, first, hedge, delay_s, response_s):
+    """Log that a hedged request got its response before the first attempt.
+
+    Parameters
+    ----------
+    req : Request
+        The request.
+    first, hedge : str
+        Endpoints of the first attempt, which was cancelled, and of the hedge.
+    delay_s : float
+        Seconds from the first attempt until the hedge was sent.
+    response_s : float
+        Seconds from the first attempt until the response.
+    """
+    log_event(
+        LOG,
+        "hedge-won",
+        req=req.metadata.request_id,
+        route=req.route.name,
+        first=first,
+        endpoint=hedge,
+        delay_s=delay_s,
+        response_s=response_s,
+    )
--- a/quetzalwall/request/request_server.py
+++ b/quetzalwall/request/request_server.py
@@ -26,6 +26,7 @@
 from quetzalwall.request.attempt_failure import record_attempt_failure
 from quetzalwall.request.choice import STOPPING, Rejection
 from quetzalwall.request.fairness import create_fairness
+from quetzalwall.request.hedged_attempt import create_hedged_attempts
 from quetzalwall.request.limit_announcement import record_limit_announcement
 from quetzalwall.request.paused_endpoints import paused_s
 from quetzalwall.request.request import RequestResult, more_severe
@@ -106,6 +107,9 @@
         allotments = limits.allotments
         self._admission = create_account_admission(allotments, metrics, monotonic)
         self._fairness = create_fairness(rng)
+        self._hedged = create_hedged_attempts(
+            chooser, latency, cluster_state, limits, metrics, grace, monotonic
+        )
 
     def serve(self, environ):
         """Return the response to one request.
@@ -192,8 +196,8 @@
         """Try endpoints until one responds, and return the result."""
         tried, fallbacks = [], []
         failure = result = None
-        for attempt in range(1, req.route.attempts + 1):
-            if attempt > 1 and not fallbacks and not self._may_retry(req, failure):
+        while len(tried) < req.route.attempts:  # a hedge counts as an attempt
+            if tried and not fallbacks and not self._may_retry(req, failure):
                 break
             choice = fallbacks.pop() if fallbacks else self._choose(req, tried)
             if isinstance(choice, Rejection):
@@ -203,12 +207,14 @@
                 res = self._reject(req.metadata, req.route.name, "admission", *choice)
                 return RequestResult(res, "refused")
             tried.append(choice.state.name)
-            last = attempt == req.route.attempts
             abandon = None
-            if req.route.idempotent and not last:
+            if req.route.idempotent and len(tried) < req.route.attempts:
                 abandon = partial(self._fall_back, req, choice.state, tried, fallbacks)
             try:
-                res = self._attempt(req, choice, abandon)
+                attempt = partial(self._attempt, req)
+                res, choice = self._hedged.run(
+                    attempt, req, choice, tried, abandon, self._record_failure
+                )
             except EndpointError as exc:
                 failure = more_severe(failure, exc)
                 self._record_failure(req, exc, choice.state)
@@ -216,9 +222,12 @@
                     break
                 continue
             result = RequestResult(res, "answered", choice.state.name)
+            last = len(tried) >= req.route.attempts
             if last or not req.route.idempotent or res.status < MIN_FAILURE_STATUS:
                 return result
-            failure = IncompleteAnswer(f"status {res.status}", "answer", tried[-1])
+            failure = IncompleteAnswer(
+                f"status {res.status}", "answer", result.endpoint
+            )
             self._record_failure(req, failure, choice.state)
         return result or self._failure_result(req, failure)
 
@@ -343,6 +352,7 @@
         if choice.queueing_delay_s == 0 and not state.cold(now):
             rtt_s = self._latency.rtt_s(state.region)
             work = max(0.001, now - began - rtt_s) / choice.slowness  # seconds
+            self._hedged.hedging.record_work(req.route, choice.cached, work)
             model = self._latency
             model.record_work(req.route, req.service, choice.cached, work)
             model.learn_cache_size(req.route, req.service, choice.reuse_distance, work)
@@ -384,7 +394,7 @@
 
     def _record_failure(self, req, exc, state):
         self._metrics.record_failed_attempt(req.service, type(exc).__name__)
-        log_failure(req, exc, state.name)
+        log_failure(req, exc, exc.peer or state.name)
 
 
 def create_request_server(*parts):
