--- a/quetzalwall/request/hedged_attempt.py
+++ b/quetzalwall/request/hedged_attempt.py
@@ -42,7 +42,7 @@
         self.hedging = hedging
         self._cluster_state = cluster_state
         self._metrics = metrics
-        self._ghedged = grace
+        self._grace = grace
         self._monotonic = monotonic
 
     def run(self, attempt, req, first, tried, should_abandon, record_failure):
