--- a/quetzalwall/request/hedged_attempt.py
+++ b/quetzalwall/request/hedged_attempt.py
@@ -7,7 +7,7 @@
 
 from quetzalwall.connection.caller_connection import CallerLeft
 from quetzalwall.exceptions import EndpointError, IncompleteAnswer
-from quetzalwall.request.hedging import create_hedging
+from quetzalwall.request.hedging import CHECK_RATIO, create_hedging
 from quetzalwall.request.request import more_severe
 from quetzalwall.request.request_log import log_choice, log_hedge_won
 
@@ -95,6 +95,7 @@
         self._began = parts._monotonic()
         self._hedge = None
         self._hedged_at = None
+        self._withheld = ""  # why there is no hedge, as of the last decision
         self._tasks = {}
         self._ended = Queue()
 
@@ -108,6 +109,9 @@
         finally:
             if self._hedge is not None and self._hedge.state.name in self._tasks:
                 self._record("cancelled")
+            if self._hedge is None and self._withheld:
+                service = self._req.service
+                self._parts._metrics.record_withheld_hedge(service, self._withheld)
             # The connections of the attempts that are cancelled close here.
             gevent.killall(list(self._tasks.values()))
         return res, winner
@@ -151,17 +155,18 @@
             return late_s
         # The endpoint may have become slower since, which other instances report.
         late_s = parts.hedging.late_after_s(req.route, first, now)
-        if late_s is not None and now < self._began + late_s:
+        if late_s is None or now < self._began + late_s or not self._ended.empty():
             return late_s
-        if late_s is None or not self._ended.empty():
-            return None
         instances = parts._cluster_state.fleet.size()
         choice = "stopping"
         if not parts._grace.stopping:
-            choice = parts.hedging.decide(req, first, self._tried, now, instances)
+            elapsed_s = now - self._began
+            choice = parts.hedging.decide(
+                req, first, self._tried, elapsed_s, now, instances
+            )
         if isinstance(choice, str):
-            parts._metrics.record_withheld_hedge(req.service, choice)
-            return None
+            self._withheld = choice
+            return CHECK_RATIO * (now - self._began)
         self._hedge, self._hedged_at = choice, now
         self._tried.append(choice.state.name)
         log_choice(req, choice, len(self._tried), now, "")
--- a/quetzalwall/request/hedging.py
+++ b/quetzalwall/request/hedging.py
@@ -10,12 +10,15 @@
 
 from quetzalwall.request.endpoint_chooser import FREE_FRACTION
 
-__all__ = ["Hedging", "create_hedging"]
+__all__ = ["CHECK_RATIO", "Hedging", "create_hedging"]
 
 LATE_QUANTILE = 0.95  # of the work of a route; attempts beyond it are late
 MAX_SAMPLES = 400  # 20 of them are beyond the quantile
 MIN_SAMPLES = 60  # with fewer, no attempt counts as late
 UPDATE_SAMPLES = 20  # responses between two computations of the quantile
+# Between the times at which a late attempt is looked at again: the longer it takes, the
+# longer it should still take.
+CHECK_RATIO = 1.15
 SOONER_FRACTION = 0.75  # of the time that the first attempt should still take
 
 
@@ -24,7 +27,7 @@
 
     def __init__(self):
         self.quantile_s = None
-        self.excess_s = 0.0
+        self._late = []
         self._samples = deque(maxlen=MAX_SAMPLES)
         self._next_update = MIN_SAMPLES
 
@@ -38,12 +41,16 @@
     def _update(self):
         ordered = sorted(self._samples)
         late = ordered[int(LATE_QUANTILE * len(ordered)) :]
-        self.quantile_s = late[0][0]
+        self.quantile_s, self._late = late[0][0], late
+
+    def remaining_s(self, work_s):
+        """Return the mean work that follows, of requests with at least some work."""
+        longer = [sample for sample in self._late if sample[0] > work_s] or self._late
         # A cancelled attempt would have taken longer by an unknown time. Dividing by
         # the number of complete ones gives the maximum-likelihood mean of excesses that
         # are distributed exponentially.
-        excess_s = sum(seconds - self.quantile_s for seconds, _ in late)
-        self.excess_s = excess_s / max(1, sum(complete for _, complete in late))
+        excess_s = sum(seconds - min(work_s, seconds) for seconds, _ in longer)
+        return excess_s / max(1, sum(complete for _, complete in longer))
 
 
 class Hedging:
@@ -131,7 +138,7 @@
         work_s = (elapsed_s - self._delays_s(route, choice)) / choice.slowness
         self.record_work(route, choice.cached, max(0.0, work_s), complete=False)
 
-    def decide(self, req, first, tried, now, instances):
+    def decide(self, req, first, tried, elapsed_s, now, instances):
         """Return the endpoint for the hedge of a late attempt, or why there is none.
 
         Parameters
@@ -142,6 +149,8 @@
             The endpoint of the late attempt.
         tried : sequence of str
             Endpoints of all attempts so far.
+        elapsed_s : float
+            Seconds since the attempt began.
         now : float
             Monotonic seconds.
         instances : int
@@ -166,7 +175,9 @@
             return "no endpoint"
         tail = self._tails[req.route.name, first.cached]
         slowness = max(first.slowness, first.state.slowness(now))
-        limit_s = min(SOONER_FRACTION * slowness * tail.excess_s, req.deadline - now)
+        work_s = (elapsed_s - self._delays_s(req.route, first)) / slowness
+        remaining_s = slowness * tail.remaining_s(work_s)
+        limit_s = min(SOONER_FRACTION * remaining_s, req.deadline - now)
         if choice.expected_s > limit_s:
             return "not sooner"
         self._budget.record_hedge(req.service, now)
--- a/quetzalwall/request/tests/test_hedging.py
+++ b/quetzalwall/request/tests/test_hedging.py
@@ -30,7 +30,7 @@
 
 
 def decide(hedging, req, first):
-    found = hedging.decide(req, first, ["ep-0"], NOW, 3)
+    found = hedging.decide(req, first, ["ep-0"], 0.11, NOW, 3)
     return found if isinstance(found, str) else "sent"
 
 
