Learn the work of hedged routes at the slowness that responses state

Work was learned at the slowness known when a request was sent, so that an endpoint that had just become slow raised the quantile. The share counts in a window of 60 s, since an instance with one request a second never reached 1/share requests in 10 s; the half of the budget that stays for retries is checked before the hedge is added, for the same reason.

--- a/benchmarks/hedge_simulation.py
+++ b/benchmarks/hedge_simulation.py
@@ -42,6 +42,10 @@
     remote_rtt_s=0.035,
     drops_abandoned=True,
 )
+# The same without objects, so that another endpoint is as quick as the first.
+QUIET_WITHOUT_OBJECTS = QUIET_TARGET._replace(
+    requests_per_s=150.0, work_s=0.25, objects=1_000_000
+)
 # One region has a tenth of the endpoints and a third of the demand, which swings by 55%
 # in one region after the other.
 UNEVEN_DEMAND = QUIET_TARGET._replace(
@@ -144,15 +148,15 @@
         if req.arrived_at >= self.measured_from:
             self.response_times.append(response_s)
         one, choice = req.instance, req.choice
-        if choice.queueing_delay_s == 0:
-            elapsed_s = self.now - req.sent_at - one.latency.rtt_s(choice.state.region)
-            work_s = max(0.001, elapsed_s) / choice.slowness
-            one.hedging.record_work(self.route, choice.cached, work_s)
+        elapsed_s = self.now - req.sent_at
+        one.hedging.record_attempt(self.route, choice, elapsed_s, self.now)
         if req.first is not None:
             self.won += req.arrived_at >= self.measured_from
             first = req.first
             elapsed_s = self.now - first.sent_at
-            one.hedging.record_cancelled(self.route, first.choice, elapsed_s)
+            one.hedging.record_attempt(
+                self.route, first.choice, elapsed_s, self.now, complete=False
+            )
             self.cancel(first)
         elif req.hedge is not None:
             self.cancel(req.hedge)
--- a/quetzalwall/process/limits/retry_budget.py
+++ b/quetzalwall/process/limits/retry_budget.py
@@ -9,7 +9,10 @@
 # margin because requests of one window may be counted in the window before it.
 RATIO_FRACTION = 0.7
 SLACK_FRACTION = 0.5
-HEDGE_FRACTION = 0.5  # of the limit; the rest is left to retries
+HEDGE_FRACTION = 0.5  # of the limit; no hedge is sent once as many retries are counted
+# For the share of hedges; an instance with one request a second would have no hedge at
+# all of a share of 0.05 in the window of retries.
+HEDGE_WINDOW_S = 60.0
 
 
 class RetryBudget:
@@ -30,6 +33,7 @@
         self._bounds = bounds
         self.hedging = hedging
         self._hedges = {}
+        self._hedgeable = {}
         self._requests = {}
         self._retries = {}
 
@@ -57,6 +61,9 @@
             Monotonic seconds.
         """
         self._window(self._requests, service).try_add(1, float("inf"), now)
+        if self.hedging:
+            requests = self._window(self._hedgeable, service, HEDGE_WINDOW_S)
+            requests.try_add(1, float("inf"), now)
 
     def try_acquire(self, service, now, instances):
         """Count a retry if the budget allows it.
@@ -115,12 +122,13 @@
             ``"share"`` if the share of hedged requests is reached, ``"budget"`` if half
             of the retry budget is used, None if one may be sent.
         """
-        requests = self._window(self._requests, service).total(now)
-        hedges = self._window(self._hedges, service).total(now)
+        requests = self._window(self._hedgeable, service, HEDGE_WINDOW_S).total(now)
+        hedges = self._window(self._hedges, service, HEDGE_WINDOW_S).total(now)
         if hedges + 1 > self.hedging * requests:
             return "share"
         retries = self._window(self._retries, service).total(now)
-        if retries + 1 > HEDGE_FRACTION * self._limit(service, now, instances):
+        limit = self._limit(service, now, instances)
+        if retries + 1 > limit or retries > HEDGE_FRACTION * limit:
             return "budget"
         return None
 
@@ -134,7 +142,9 @@
         now : float
             Monotonic seconds.
         """
-        self._window(self._hedges, service).try_add(1, float("inf"), now)
+        self._window(self._hedges, service, HEDGE_WINDOW_S).try_add(
+            1, float("inf"), now
+        )
         self._window(self._retries, service).try_add(1, float("inf"), now)
 
     def _limit(self, service, now, instances):
@@ -142,10 +152,11 @@
         limit = RATIO_FRACTION * self._bounds.retry_ratio * requests
         return limit + SLACK_FRACTION * self._bounds.retry_slack / max(1, instances)
 
-    def _window(self, windows, service):
+    def _window(self, windows, service, span_s=None):
         window = windows.get(service)
         if window is None:
-            window = SlidingWindow(self._bounds.retry_window_s, WINDOW_RESOLUTION_S)
+            span_s = span_s or self._bounds.retry_window_s
+            window = SlidingWindow(span_s, WINDOW_RESOLUTION_S)
             windows[service] = window
         return window
 
--- a/quetzalwall/request/hedged_attempt.py
+++ b/quetzalwall/request/hedged_attempt.py
@@ -189,8 +189,9 @@
         self._record("won")
         parts, first, now = self._parts, self._first, self._parts._monotonic()
         elapsed_s = now - self._began
-        if first.state.name in self._tasks and not first.state.cold(now):
-            parts.hedging.record_cancelled(self._req.route, first, elapsed_s)
+        if first.state.name in self._tasks:
+            route = self._req.route
+            parts.hedging.record_attempt(route, first, elapsed_s, now, complete=False)
         delay_s = self._hedged_at - self._began
         names = first.state.name, choice.state.name
         log_hedge_won(self._req, *names, delay_s, elapsed_s)
--- a/quetzalwall/request/hedging.py
+++ b/quetzalwall/request/hedging.py
@@ -123,8 +123,8 @@
         slowness = max(choice.slowness, choice.state.slowness(now))
         return self._delays_s(route, choice) + slowness * tail.quantile_s
 
-    def record_cancelled(self, route, choice, elapsed_s):
-        """Record the work of an attempt that was cancelled for its hedge's response.
+    def record_attempt(self, route, choice, elapsed_s, now, complete=True):
+        """Record the work of an attempt that began without queueing.
 
         Parameters
         ----------
@@ -134,9 +134,16 @@
             The endpoint of the attempt.
         elapsed_s : float
             Seconds since the attempt began.
+        now : float
+            Monotonic seconds.
+        complete : bool, default=True
+            Whether it got a response; otherwise it was cancelled as its hedge got one.
         """
-        work_s = (elapsed_s - self._delays_s(route, choice)) / choice.slowness
-        self.record_work(route, choice.cached, max(0.0, work_s), complete=False)
+        if choice.queueing_delay_s == 0 and not choice.state.cold(now):
+            # The endpoint's own statement of its slowness comes with the response.
+            slowness = max(choice.slowness, choice.state.slowness(now))
+            work_s = (elapsed_s - self._delays_s(route, choice)) / slowness
+            self.record_work(route, choice.cached, max(0.001, work_s), complete)
 
     def decide(self, req, first, tried, elapsed_s, now, instances):
         """Return the endpoint for the hedge of a late attempt, or why there is none.
--- a/quetzalwall/request/request_server.py
+++ b/quetzalwall/request/request_server.py
@@ -349,10 +349,10 @@
         if req.object_key is not None:
             state.record_cached(req.object_key)
             self._cluster_state.fleet.announce_cached(state.name, req.object_key)
+        self._hedged.hedging.record_attempt(req.route, choice, now - began, now)
         if choice.queueing_delay_s == 0 and not state.cold(now):
             rtt_s = self._latency.rtt_s(state.region)
             work = max(0.001, now - began - rtt_s) / choice.slowness  # seconds
-            self._hedged.hedging.record_work(req.route, choice.cached, work)
             model = self._latency
             model.record_work(req.route, req.service, choice.cached, work)
             model.learn_cache_size(req.route, req.service, choice.reuse_distance, work)
--- a/quetzalwall/request/tests/test_hedging.py
+++ b/quetzalwall/request/tests/test_hedging.py
@@ -51,7 +51,7 @@
     before_s = hedging.late_after_s(req.route, first, NOW)
     for number in range(1000):
         if number % 25 == 0:
-            hedging.record_cancelled(req.route, first, 0.21)
+            hedging.record_attempt(req.route, first, 0.21, NOW, complete=False)
         else:
             hedging.record_work(req.route, False, 0.1)
     assert hedging.late_after_s(req.route, first, NOW) >= before_s
