--- a/benchmarks/hedge_simulation.py
+++ b/benchmarks/hedge_simulation.py
@@ -19,6 +19,7 @@
     "CROWDED",
     "HedgeResult",
     "QUIET_TARGET",
+    "QUIET_WITHOUT_OBJECTS",
     "UNEVEN_DEMAND",
     "simulate_hedging",
 ]
@@ -36,6 +37,7 @@
     objects=300,
     endpoints=51,
     slots=3,
+    instances=7,
     duration_s=50.0,
     noisy_fraction=0.1,
     long_fraction=0.03,
