--- a/quetzalwall/process/tests/test_hedged_requests.py
+++ b/quetzalwall/process/tests/test_hedged_requests.py
@@ -1,5 +1,6 @@
 """Hedged requests: which are sent, which response is used, what is cancelled."""
 
+import json
 import socket
 from contextlib import contextmanager
 
@@ -19,6 +20,7 @@
     running_site,
     wait_for,
 )
+from quetzalwall.version.check import load_json
 
 SLOW_S = 1.2
 
@@ -196,3 +198,15 @@
         assert status == 200 and body.startswith(b"ep-0 ")
         assert arrived(site) == [1, 0]
         assert hedges(front) == {"sent": 1, "failed": 1}
+
+
+# Hedging must be turned on and off without a restart.
+def test_the_share_of_hedges_follows_the_settings_file():
+    with running_site(endpoints=1) as site:
+        front = site.fronts[0]
+        budget, body = front.limits.retry_budget, load_json(front._settings_file)
+        for share in (0.05, 0.0):
+            with open(front._settings_file, "w") as file:
+                json.dump(body | {"hedging": share}, file)
+            front.reload()
+            assert budget.hedging == front.settings.hedging == share
