--- a/quetzalwall/platform/settings.py
+++ b/quetzalwall/platform/settings.py
@@ -38,6 +38,7 @@
 DEFAULT_LINK_MBPS = 1000.0
 DEFAULT_MEMORY_MB = 300.0
 DEFAULT_DESCRIPTORS = 4096
+MAX_HEDGING = 0.2  # more would load the endpoints as retries may
 LISTENER_NAMES = ("callers", "health", "peers", "lookup", "metrics")
 SCHEMA = {
     "type": "object",
@@ -67,11 +68,12 @@
         "memory_mb": POSITIVE_NUMBER_SCHEMA,
         "connections": {"type": "integer", "minimum": 1},
         "bounds": {"type": "object"},
+        "hedging": {"type": "number", "minimum": 0, "maximum": MAX_HEDGING},
     },
 }
 # Fields with a default. A malformed value of one of them does not prevent the start.
 OPTIONAL_FIELDS = frozenset(
-    ("seeds", "link_mbps", "memory_mb", "connections", "bounds")
+    ("seeds", "link_mbps", "memory_mb", "connections", "bounds", "hedging")
 )
 DEFAULT_METRICS_PORT = 9464
 
@@ -133,6 +135,8 @@
         ``"tree"`` for the product's settings tree.
     bounds : Bounds
         The operators' bounds.
+    hedging : float, default=0.0
+        Maximum share of a service's requests that are hedged; 0 hedges none.
     """
 
     instance: str
@@ -149,6 +153,7 @@
     descriptors: int
     config_source: str
     bounds: Bounds
+    hedging: float = 0.0
 
 
 def settings_path(environ=None):
@@ -176,7 +181,8 @@
     ignored : list of Fault, default=None
         Receives the malformed values of optional fields.
     previous : InstanceSettings, default=None
-        Settings whose seeds and bounds replace malformed ones; defaults if None.
+        Settings whose seeds, bounds and hedging replace malformed ones; defaults if
+        None.
 
     Returns
     -------
@@ -211,10 +217,13 @@
         descriptors=int(body.get("connections", DEFAULT_DESCRIPTORS)),
         config_source=body.get("configuration", FROM_OPERATORS),
         bounds=Bounds(),
+        hedging=float(body.get("hedging", 0.0)),
     )
     ignored_fields = {fault.path.split("/")[1] for fault in ignored}
     if previous is not None and "seeds" in ignored_fields and not settings.seeds:
         settings = settings._replace(seeds=previous.seeds)
+    if previous is not None and "hedging" in ignored_fields:
+        settings = settings._replace(hedging=previous.hedging)
     if previous is not None and "bounds" in ignored_fields and "bounds" not in body:
         return settings._replace(bounds=previous.bounds)
     fallback = previous.bounds if previous is not None else settings.bounds
--- a/quetzalwall/request/attempts.py
+++ b/quetzalwall/request/attempts.py
@@ -28,17 +28,22 @@
         Knows which endpoints are unresponsive.
     latency : LatencyModel
         Learns processing times and round trips.
+    hedging : Hedging
+        Learns how long attempts take.
     grace : GracePeriod
         Limits the requests of an instance that is stopping.
     monotonic : callable
         Clock in seconds.
     """
 
-    def __init__(self, dialect, cluster_state, chooser, latency, grace, monotonic):
+    def __init__(
+        self, dialect, cluster_state, chooser, latency, hedging, grace, monotonic
+    ):
         self._dialect = dialect
         self._cluster_state = cluster_state
         self._chooser = chooser
         self._latency = latency
+        self._hedging = hedging
         self._grace = grace
         self._monotonic = monotonic
 
@@ -123,6 +128,7 @@
         if req.object_key is not None:
             state.record_cached(req.object_key)
             self._cluster_state.fleet.announce_cached(state.name, req.object_key)
+        self._hedging.record_attempt(req.route, choice, now - began, now)
         if choice.queueing_delay_s == 0 and not state.cold(now):
             rtt_s = self._latency.rtt_s(state.region)
             work = max(0.001, now - began - rtt_s) / choice.slowness  # seconds
--- a/quetzalwall/request/endpoint_chooser.py
+++ b/quetzalwall/request/endpoint_chooser.py
@@ -26,7 +26,6 @@
 PREFERRED_BONUS_S = 0.25
 SLOT_WEIGHT = 0.7  # fraction of the work added to the cost: it delays later requests
 CONNECT_PENALTY_S = 0.015  # if a new connection is needed
-CROWDING_THRESHOLD = 0.5  # fraction of slots in use; above, each one delays others
 CROWDED_SLOT_WEIGHT = 1.0  # further fraction of the work, times the crowding
 CROWDED_PREFERRED_BONUS_S = 0.6  # further bonus, times the crowding
 UNTRIED_BONUS_S = 0.3  # off the cost of an idle endpoint that has served no objects yet
@@ -158,10 +157,33 @@
             return rejection
         if choice.state.cold(now):
             self._cold_limiter.record_request(choice.state.name, now)
+        self.record_limited(choice, now)
+        return choice
+
+    def hedge_choices(self, req, now, tried):
+        """Return a `Choice` for each endpoint that may get a hedge and has a free slot.
+
+        They are in this region, since caps on moves between regions count no hedges.
+        """
+        cfg, route, service = req.cfg, req.route, req.service
+        states = self._endpoints.routable_endpoints(service)
+        eligible = self._eligible(cfg, route, service, now, tried, states, self._region)
+        free = [
+            s for s in eligible if reported_load.has_free_slot(s, now, FREE_FRACTION)
+        ]
+        free = [state for state in free if self._limit_allows(state, now)]
+        if not free:
+            return []
+        costs, rank = self._request_costs(route, service, free), ENDPOINTS_PER_OBJECT
+        key = req.object_key
+        estimates = [(s, self._estimate(costs, s, rank, key, now)) for s in free]
+        return [Choice(state, rank, *e[1:], len(free)) for state, e in estimates]
+
+    def record_limited(self, choice, now):
+        """Count a request that is sent to an endpoint with an advertised limit."""
         if choice.state.advertised_limit is not None:
             choice.state.advertised_limit.record_demand(now)
             choice.state.advertised_limit.record_sent(now)
-        return choice
 
     def _limit_allows(self, state, now):
         """Return whether an endpoint's advertised limit allows a request from here."""
@@ -212,7 +234,7 @@
         return choice.expected_s + choice.slowness * max(0.0, excess_s) <= stop_s
 
     def _request_costs(self, route, service, candidates):
-        latency, crowding = self._latency, _crowding(candidates)
+        latency, crowding = self._latency, reported_load.crowding_of(candidates)
         slot_time_s = latency.slot_time_s(service)
         mean_loads = reported_load.mean_reported_loads(candidates)
         report_age_s, weight = self._fleet.report_age_s, reported_load.report_weight
@@ -347,13 +369,6 @@
         return self._cold_limiter.allows(state.name, service.cold_per_s, names, now)
 
 
-def _crowding(candidates):
-    """Return by how much requests per slot exceed the threshold; 0 up to it."""
-    slots = sum(state.entry.slots for state in candidates)
-    used = sum(state.in_flight() for state in candidates)
-    return max(0.0, used / slots - CROWDING_THRESHOLD)
-
-
 def _retry_after_s(wait_s):
     return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
 
--- a/quetzalwall/request/reported_load.py
+++ b/quetzalwall/request/reported_load.py
@@ -7,8 +7,16 @@
 
 import math
 
-__all__ = ["estimate_in_flight", "is_full", "mean_reported_loads", "report_weight"]
-
+__all__ = [
+    "crowding_of",
+    "estimate_in_flight",
+    "has_free_slot",
+    "is_full",
+    "mean_reported_loads",
+    "report_weight",
+]
+
+CROWDING_THRESHOLD = 0.5  # fraction of slots in use; above, each one delays others
 MAX_REQUESTS_PER_SLOT = 4.0  # in flight; from this number on an endpoint rejects
 
 
@@ -95,3 +103,42 @@
         slots[region] = slots.get(region, 0) + state.entry.slots
         loads[region] = loads.get(region, 0) + state.peer_in_flight
     return {region: loads[region] / slots[region] for region in slots}
+
+
+def crowding_of(candidates):
+    """Return by how much requests per slot exceed the threshold; 0 up to it.
+
+    Parameters
+    ----------
+    candidates : sequence of EndpointState
+        The endpoints.
+
+    Returns
+    -------
+    float
+    """
+    slots = sum(state.entry.slots for state in candidates)
+    used = sum(state.in_flight() for state in candidates)
+    return max(0.0, used / slots - CROWDING_THRESHOLD)
+
+
+def has_free_slot(state, now, fraction):
+    """Return whether an endpoint can start a hedge at once.
+
+    Parameters
+    ----------
+    state : EndpointState
+        The endpoint.
+    now : float
+        Monotonic seconds.
+    fraction : float
+        Fraction of the slots up to which one is free.
+
+    Returns
+    -------
+    bool
+        False also if it is cold or avoided.
+    """
+    if state.cold(now) or state.avoided(now):
+        return False
+    return state.in_flight() + 1 <= fraction * state.entry.slots
