Avoid calls for each candidate of a choice

Cause: a choice among 78 endpoints runs for each request; the split of the endpoint's state and the estimate of its load had added calls for each candidate.

Change: the estimate of the load and the checks of recent objects use the fields directly.

--- a/quetzalwall/process/cluster/endpoint_state.py
+++ b/quetzalwall/process/cluster/endpoint_state.py
@@ -300,15 +300,6 @@
         later = reversed(self.recent_objects)
         return next(count for count, key in enumerate(later) if key == object_key)
 
-    def served_no_objects(self):
-        """Return whether it is not known to have served any object.
-
-        Returns
-        -------
-        bool
-        """
-        return not self.recent_objects
-
     def record_cached(self, object_key):
         """Record that it has served an object and so has it cached.
 
--- a/quetzalwall/request/endpoint_chooser.py
+++ b/quetzalwall/request/endpoint_chooser.py
@@ -255,9 +255,11 @@
         This runs for each candidate of each request, so what is the same for all of
         them is computed once, in `costs`.
         """
-        reuse_distance = state.reuse_distance(object_key)
-        cached = reuse_distance is not None and reuse_distance < costs.cache_size
-        slowness = state.slowness(now)
+        cached, reuse_distance = False, None
+        if object_key in state.recent_objects:
+            reuse_distance = state.reuse_distance(object_key)
+            cached = reuse_distance < costs.cache_size
+        slowness = state.reported_slowness.estimate(now)
         if now < state.cold_until:
             slowness *= COLD_SLOWNESS
         slots, region = state.entry.slots, state.region
@@ -281,7 +283,7 @@
             cost_s += REMOTE_PENALTY_S
         elif state.entry.domain != self._domain:
             cost_s += OTHER_DOMAIN_PENALTY_S
-        if not state.in_flight() and state.served_no_objects():
+        if not (state.own_in_flight or state.peer_in_flight or state.recent_objects):
             cost_s -= UNTRIED_BONUS_S
         if not connected:
             cost_s += CONNECT_PENALTY_S
--- a/quetzalwall/request/reported_load.py
+++ b/quetzalwall/request/reported_load.py
@@ -53,10 +53,12 @@
         The reported number if it is full: with the mean, it could be chosen before free
         ones, and the request be rejected.
     """
-    if is_full(state):
-        return state.in_flight()
-    mean = mean_load * state.entry.slots
-    return state.own_in_flight + mean + weight * (state.peer_in_flight - mean)
+    # No further calls, since this runs for each candidate of each request.
+    own, peers, slots = state.own_in_flight, state.peer_in_flight, state.entry.slots
+    if own + peers >= MAX_REQUESTS_PER_SLOT * slots:
+        return own + peers
+    mean = mean_load * slots
+    return own + mean + weight * (peers - mean)
 
 
 def report_weight(age_s, slot_time_s):
