Spend less processor time on the figures of client accounts

Each report brought the level of several accounts up to date, and lists were complete every 2 s.

Change: the level is integrated in steps of 20 ms or more, lists are complete every 5 s, accounts that are not listed are skipped, and fair shares are computed twice a second.

--- a/quetzalwall/process/limits/account_bucket.py
+++ b/quetzalwall/process/limits/account_bucket.py
@@ -18,6 +18,7 @@
 # A further rise within it is reported as well, but the others have shown theirs.
 RISE_CALM_S = 1.5
 MAX_STEP_S = 0.1  # of the integration of the level
+MIN_STEP_S = 0.02  # reports arrive every few ms, and each would integrate the level
 ALONE_SPEND_S = 0.01  # in which an instance alone may spend what is left
 CAP_FRACTION = 0.15  # of the slack; added to the burst, for credit unused by late views
 FLOOR_FRACTION = 0.25  # of the slack; the level may be below zero by it with others
@@ -169,7 +170,7 @@
             Monotonic seconds.
         """
         elapsed_s = now - self._updated_at
-        if elapsed_s <= 0:
+        if elapsed_s < MIN_STEP_S:
             return
         self._updated_at = now
         others_per_s = self._others_per_s()
--- a/quetzalwall/process/limits/allotments.py
+++ b/quetzalwall/process/limits/allotments.py
@@ -30,7 +30,7 @@
         self.last_at = now
         self.period_s = 0.0
         self.count = 0
-        self.codes = frozenset()
+        self.codes = set()
 
     def record(self, now):
         gap_s = now - self.last_at
@@ -68,6 +68,7 @@
         self._rng = rng
         self._buckets = {}
         self._by_code = {}
+        self._listed = set()  # codes of the accounts in the last report
         self._accounts = {}
         self._peers = {}
         self._started_at = None
@@ -104,6 +105,7 @@
                 bucket.settle(self._last_report_at)
             bucket.configure(account, bounds)
         self._by_code = {_account_code(n): b for n, b in self._buckets.items()}
+        self._listed &= self._by_code.keys()
 
     def try_admit(self, account, now):
         """Admit a request of an account, or return when capacity is expected.
@@ -185,6 +187,11 @@
         for code, bucket in self._by_code.items():
             if bucket.is_active(now):
                 figures.append((code, *bucket.own_figures(now)))
+                self._listed.add(code)
+            elif code not in self._listed:
+                continue
+            else:
+                self._listed.discard(code)
             bucket.mark_reported()
             bucket.news_pending = False
         return figures
@@ -237,12 +244,14 @@
                 bucket.receive_inactive(instance, now)
         elif not figures and not peer.codes:
             return
-        codes = set() if complete else set(peer.codes)
+        codes = set() if complete else peer.codes
         for code, *account_figures in figures:
             bucket = self._by_code.get(code)
             if bucket is not None:
                 codes.add(code)
                 bucket.receive(instance, account_figures, now)
+        if not complete:
+            return
         for code in peer.codes - codes:
             bucket = self._by_code.get(code)
             if bucket is not None:
--- a/quetzalwall/process/limits/changed_figures.py
+++ b/quetzalwall/process/limits/changed_figures.py
@@ -6,7 +6,7 @@
 
 # Between two complete lists, which make up for lost reports. Most of the processor time
 # that allotments took was for figures that had not changed.
-COMPLETE_PERIOD_S = 2.0
+COMPLETE_PERIOD_S = 5.0
 MIN_CHANGE_RATIO = 0.5  # of the demand; a smaller change can wait for a complete list
 MIN_CHANGE_HUNDREDTHS = 50  # of a request a second; the same for low demand
 
--- a/quetzalwall/request/fairness.py
+++ b/quetzalwall/request/fairness.py
@@ -14,7 +14,7 @@
 __all__ = ["Fairness", "create_fairness", "fair_shares"]
 
 SPAN_S = 5.0  # time constant of the measured demand and capacity
-REFRESH_S = 0.25  # between two computations of the shares
+REFRESH_S = 0.5  # between two computations of the shares
 # Queueing that a request accepts, as a ratio to the shortest target of the service's
 # routes: all ranks queue at the same endpoints. The first is for the most urgent rank
 # that has requests. Requests beyond their account's share still queue a little, since
