Deliver what a stopping instance accepts, and count the time of reading

Cause: whether a request fits into the grace period was decided by the endpoint's work and the queue; the time in which the caller reads the response counted as nothing. The process stopped waiting at 0.92 of the grace period, and the kernel held at most 128 KB of the rest.

Change: the chooser adds the expected reading time, from the size of the route's responses and the rate at which callers read now. Requests are not rejected for their time of arrival alone any more. At the end the kernel takes the rest of all responses. Look-ups, health checks and exports are awaited and served from the accept queue like callers' requests.

--- a/quetzalwall/connection/exchange.py
+++ b/quetzalwall/connection/exchange.py
@@ -14,8 +14,10 @@
 
 from quetzalwall.connection.http_server import STALL_TIMEOUT_S, QuietHandler
 from quetzalwall.connection.pipeline import MAX_WAITING_BYTES
+from quetzalwall.connection.send_buffers import acknowledged_bytes, enlarge_send_buffer
+from quetzalwall.connection.slow_readers import DeliveryConnection
 
-__all__ = ["EXCHANGE_KEY", "Exchange", "create_exchange"]
+__all__ = ["EXCHANGE_KEY", "REQUEST_ID_KEY", "Exchange", "create_exchange"]
 
 SEND_BYTES = 16 * 1024  # after which the progress of a response is recorded
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # also frees what the kernel still has to send
@@ -24,6 +26,7 @@
 SOCKET_KEY = "quetzalwall.socket"
 TARGET_KEY = "quetzalwall.target"
 EXCHANGE_KEY = "quetzalwall.exchange"
+REQUEST_ID_KEY = "quetzalwall.request_id"
 
 
 class Exchange(QuietHandler):
@@ -190,7 +193,14 @@
         deliveries = self._connection.server.pipelining.deliveries
         reservation = self.reservation
         self._delivery = deliveries.add(
-            reservation.reserved_bytes, reservation.account, self._cut_off
+            reservation.reserved_bytes,
+            reservation.account,
+            self._cut_off,
+            DeliveryConnection(
+                self.environ.get(REQUEST_ID_KEY, ""),
+                lambda: acknowledged_bytes(self.socket),
+                self._hand_over,
+            ),
         )
         try:
             super().process_result()
@@ -211,6 +221,26 @@
             super()._sendall(view[start : start + SEND_BYTES])
             self._delivery.sent_bytes = self.response_length
 
+    def bytes_ahead(self):
+        """Return the bytes of earlier responses that the connection hasn't taken yet.
+
+        Returns
+        -------
+        int
+        """
+        size = 0
+        for other in self._connection._pipeline.running:
+            if other is self:
+                break
+            size += other.reserved_bytes()
+            if other._delivery is not None:
+                size -= other._delivery.sent_bytes
+        return size
+
+    def _hand_over(self):
+        running = self._connection._pipeline.running
+        enlarge_send_buffer(self.socket, sum(e.reserved_bytes() for e in running))
+
     def _cut_off(self):
         """Reset the connection, so that the response doesn't look complete."""
         option = gevent.socket.SOL_SOCKET, gevent.socket.SO_LINGER
--- a/quetzalwall/connection/front_server.py
+++ b/quetzalwall/connection/front_server.py
@@ -3,7 +3,7 @@
 import errno
 
 from quetzalwall.connection.caller_connection import CallerLeft
-from quetzalwall.connection.exchange import EXCHANGE_KEY
+from quetzalwall.connection.exchange import EXCHANGE_KEY, REQUEST_ID_KEY
 from quetzalwall.connection.http_server import (
     BadRequest,
     HttpLimits,
@@ -17,7 +17,6 @@
 __all__ = ["create_front_application", "create_front_server"]
 
 RESERVATION_KEY = "quetzalwall.hold"
-REQUEST_ID_KEY = "quetzalwall.request_id"
 CLOSE_HEADER = ("Connection", "close")
 MIN_LOGGED_DELAY_S = 0.001  # of a request behind others of its connection
 LOG = get_logger("front-server")
--- a/quetzalwall/connection/http_server.py
+++ b/quetzalwall/connection/http_server.py
@@ -222,9 +222,11 @@
 
     def run_application(self):
         """Run the application and send its response."""
+        self.server.open_requests += 1
         try:
             super().run_application()
         finally:
+            self.server.open_requests -= 1
             self.wsgi_input.rfile.limit_rest()
 
     def yield_if_due(self):
@@ -305,6 +307,7 @@
         log=None,
         error_log=None,
     )
+    server.open_requests = 0  # whose responses have not been sent completely
     server.idle = IdleConnections(time.monotonic)
     if heads is None:
         heads = RequestHeads(MemoryBudget(sys.maxsize), time.monotonic)
--- a/quetzalwall/connection/nodelay.py
+++ b/quetzalwall/connection/nodelay.py
@@ -5,19 +5,16 @@
 """
 
 import select
-import socket
 
 import gevent.socket
 from gevent.pywsgi import WSGIServer
 
+from quetzalwall.connection.send_buffers import limit_unsent_bytes
 from quetzalwall.connection.yielding_socket import YieldingSocket
 
 __all__ = ["NoDelayServer", "connect", "is_readable", "set_nodelay"]
 
 
-MAX_UNSENT_BYTES = 128 * 1024  # in the kernel, for each connection of a server
-
-
 def set_nodelay(sock):
     """Set TCP_NODELAY on a socket.
 
@@ -81,11 +78,7 @@
             Address of the peer.
         """
         set_nodelay(sock)
-        # Responses that nobody reads would take some MB of the machine's memory each,
-        # beside that of the process.
-        sock.setsockopt(
-            gevent.socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, MAX_UNSENT_BYTES
-        )
+        limit_unsent_bytes(sock)
         super().handle(sock, address)
 
 
--- a/quetzalwall/connection/pipelined_handler.py
+++ b/quetzalwall/connection/pipelined_handler.py
@@ -81,6 +81,7 @@
         self._changed = None  # set when a request ends, while the task waits for that
         self._awaits_request = self._timed_out = False
         self._linger_timer = None
+        self._closed = False
         self._input_ended = False  # here, because a head took too long
         try:
             self._serve_requests()
@@ -238,6 +239,8 @@
         """
         pipeline = self._pipeline
         self._remove(exchange)
+        if self._closed:
+            return
         if pipeline.broken:
             self._cancel_running(CallerLeft, block=False)
         if self._running:
@@ -294,6 +297,7 @@
             gevent.sleep(POLL_S)
 
     def _close(self):
+        self._closed = True
         if self._linger_timer is not None:
             self._linger_timer.kill(block=False)
         with suppress(OSError):
--- a/quetzalwall/process/front.py
+++ b/quetzalwall/process/front.py
@@ -36,6 +36,7 @@
     create_tree_parts,
 )
 from quetzalwall.process.listeners import open_in_background, open_listener
+from quetzalwall.process.planned_stop import finish_requests
 from quetzalwall.process.registration import register, unregister
 from quetzalwall.process.resource_budget import (
     create_memory_budget,
@@ -51,16 +52,12 @@
 TICK_PERIOD_S = 0.5
 SETTINGS_PERIOD_S = 1.0
 EVICTION_PERIOD_S = 0.25  # callers abandon a connection that waits 1 s to be accepted
+OBSERVATION_PERIOD_S = 0.25  # between two looks at the responses that are being sent
 REJECTED_PERIOD_S = 10.0  # a flood of malformed input gets one log line in this time
 TRAFFIC_PERIOD_S = 10.0  # between two log lines of the bytes exchanged so far
 EXPIRY_PERIOD_S = 0.25  # an expired entry removed this late is still within its bound
 STORE_TIMEOUT_S = 1.2
 SYNC_PERIOD_S = 0.1  # between two comparisons with the configuration of peers
-MIN_STOP_FRACTION = 0.7  # of the grace period: a planned stop lasts at least this long
-MAX_STOP_FRACTION = 0.92  # of the grace period: then requests are no longer awaited
-STOP_POLL_S = 0.05
-FINAL_REQUESTS_S = 0.1  # for requests on the connections that were accepted last
-FINAL_ACCEPT_ROUNDS = 4  # each evicts idle connections so that others are accepted
 RELOADED_SETTINGS = ("bounds", "domains", "seeds", "hedging")
 SIGHUP, SIGINT, SIGTERM = 1, 2, 15
 LOG = get_logger("front")
@@ -114,7 +111,14 @@
             )
         self.settings_admin, self._batcher, claims = tree
         serving = create_serving(
-            settings, dialect, cluster, claims, self.metrics, rng, now
+            settings,
+            dialect,
+            cluster,
+            claims,
+            self.metrics,
+            self.deliveries.rates,
+            rng,
+            now,
         )
         self.limits, self._grace, self._reader, self.server = serving
         self.self_watch = create_self_watch(settings.memory_mb, self._usage, now)
@@ -175,6 +179,7 @@
             repeat(self._check_settings, SETTINGS_PERIOD_S),
             repeat(self.self_watch.look, CHECK_PERIOD_S),
             repeat(self._make_room, EVICTION_PERIOD_S),
+            repeat(self.deliveries.observe, OBSERVATION_PERIOD_S),
             repeat(self._rejection_log.write, REJECTED_PERIOD_S),
             repeat(self.endpoints.drop_lapsed, EXPIRY_PERIOD_S),
             repeat(self._configuration_sync.check, SYNC_PERIOD_S),
@@ -197,34 +202,14 @@
         """Stop gracefully: wait for requests in flight, at most the grace period."""
         if self.stopping:
             return
-        start, grace_s = self.clock.monotonic(), self.settings.bounds.grace_s
+        grace_s = self.settings.bounds.grace_s
         self.stopping = self.fleet.leaving = True
         self._grace.begin(grace_s)
         log_event(LOG, "stopping", in_flight=self.in_flight)
         gevent.spawn(unregister, self._store, self.fleet)
-        deadline = start + MAX_STOP_FRACTION * grace_s
-        gevent.sleep(MIN_STOP_FRACTION * grace_s)
-        while self.in_flight and self.clock.monotonic() < deadline:
-            gevent.sleep(STOP_POLL_S)
-        self._serve_accept_queue()
-        log_event(
-            LOG,
-            "stopped",
-            in_flight=self.in_flight,
-            took_s=self.clock.monotonic() - start,
-        )
+        finish_requests(self, self._servers, grace_s)
         self.close()
 
-    def _serve_accept_queue(self):
-        """Serve the callers that wait to be accepted, then stop accepting."""
-        server = self._servers["callers"]
-        for _ in range(FINAL_ACCEPT_ROUNDS):
-            if server.pool.free_count() == 0:
-                server.idle.evict(server.pool, spare_fraction=1.0, min_idle_s=0.0)
-            gevent.sleep(STOP_POLL_S)
-        server.close()
-        gevent.sleep(FINAL_REQUESTS_S)
-
     def close(self):
         """Stop at once."""
         gevent.killall(self._tasks)
--- a/quetzalwall/process/front_interfaces.py
+++ b/quetzalwall/process/front_interfaces.py
@@ -4,6 +4,7 @@
 from urllib.parse import parse_qs
 
 from quetzalwall.connection.digits import is_decimal
+from quetzalwall.connection.front_server import CLOSE_HEADER
 from quetzalwall.connection.http_server import (
     BadRequest,
     HttpLimits,
@@ -56,11 +57,22 @@
         limits = HttpLimits(max_connections=connections)
         address = getattr(settings.listen, name)
         servers[name] = create_server(
-            *address, partial(handler, front), limits, heads=front.heads
+            *address, partial(_serve, front, handler), limits, heads=front.heads
         )
     return servers
 
 
+def _serve(front, handler, environ, start_response):
+    """Let a handler respond; close the connection if the instance is stopping."""
+    if not front.stopping:
+        return handler(front, environ, start_response)
+
+    def start_last_response(status, headers):
+        return start_response(status, [*headers, CLOSE_HEADER])
+
+    return handler(front, environ, start_last_response)
+
+
 def _serve_health(front, environ, start_response):
     if environ["PATH_INFO"] == METRICS_PATH:
         return _serve_metrics(front, environ, start_response)
--- a/quetzalwall/process/front_parts.py
+++ b/quetzalwall/process/front_parts.py
@@ -150,7 +150,7 @@
     return TreeParts(settings_admin, batcher, claims)
 
 
-def create_serving(settings, dialect, cluster, claims, metrics, rng, monotonic):
+def create_serving(settings, dialect, cluster, claims, metrics, rates, rng, monotonic):
     """Return what an instance serves requests with.
 
     Parameters
@@ -165,6 +165,8 @@
         Idempotency keys.
     metrics : FrontMetrics
         Counters.
+    rates : ReadingRates
+        How fast callers read.
     rng : random.Random
         Source of randomness.
     monotonic : callable
@@ -186,7 +188,7 @@
     latency = create_latency_model(settings.region)
     limiter = limits.cold_start_limiter
     chooser = create_chooser(endpoints, latency, limiter, fleet, rng)
-    grace = create_grace_period(monotonic)
+    grace = create_grace_period(monotonic, latency, rates)
     reader = create_request_reader(dialect, state, limits.split)
     server = create_request_server(
         dialect,
--- a/quetzalwall/process/tests/test_planned_stop.py
+++ b/quetzalwall/process/tests/test_planned_stop.py
@@ -5,8 +5,13 @@
 import logbook
 from nose2.tools import params
 
+from quetzalwall.process.tests.test_slow_readers import (
+    RESPONSE_BYTES,
+    open_slow_reader,
+)
 from quetzalwall.tests.platform_fixtures import (
     HOST,
+    call,
     config_body,
     route_row,
     running_site,
@@ -310,3 +315,61 @@
                 received += len(data)
         assert received >= size
         stop.join()
+
+
+def read_at(rate, sock):
+    """Read a response at a rate in bytes per second; return the bytes received."""
+    received, began = 0, time.monotonic()
+    while data := sock.recv(4096):
+        received += len(data)
+        gevent.sleep(max(0.0, began + received / rate - time.monotonic()))
+    return received
+
+
+# LOST: responses that callers read at the speed of slow links were truncated at the end
+# of the process, beyond the 128 KB that the kernel held.
+def test_a_response_that_is_read_beyond_the_end_of_the_process_is_complete():
+    with running_site(endpoints=1) as site:
+        site.endpoints[0].behaviour["longer"] = RESPONSE_BYTES
+        socks = [open_slow_reader(site, number) for number in range(4)]
+        readers = [gevent.spawn(read_at, 120_000, sock) for sock in socks]
+        gevent.sleep(0.1)
+        start = time.monotonic()
+        site.fronts[0].stop()
+        assert time.monotonic() - start < 2.0
+        gevent.joinall(readers, timeout=8.0, raise_error=True)
+        assert [reader.value > RESPONSE_BYTES for reader in readers] == [True] * 4
+
+
+# LOST: the time in which a caller reads a response was not counted when a stopping
+# instance accepted a request, and the response was truncated.
+def test_a_late_request_whose_response_can_not_be_read_in_time_is_rejected():
+    with running_site(endpoints=1, slots=SLOTS) as site:
+        configure_routes(site)
+        learn_durations(site, *BOOK, 0.01)
+        learn_durations(site, *LOOK, 0.01, 19)
+        site.endpoints[0].behaviour["longer"] = RESPONSE_BYTES
+        socks = [open_slow_reader(site, number) for number in range(4)]
+        readers = [gevent.spawn(read_at, 120_000, sock) for sock in socks]
+        gevent.sleep(0.8)
+        stop = begin_stop(site, 0.1)
+        before = count_arrivals(site)
+        start = time.monotonic()
+        assert_rejected(*site.get("/look/9"))
+        assert time.monotonic() - start < MAX_REJECTION_S
+        assert count_arrivals(site) == before
+        # Responses of this route are known to be short.
+        assert site.get("/book/9", 0, "POST")[0] == 200
+        stop.join()
+        gevent.killall(readers)
+
+
+# A caller could send its next look-up on a connection that was about to be closed.
+def test_a_look_up_at_a_stopping_instance_closes_its_connection():
+    with running_site() as site:
+        stop = begin_stop(site, 0.1)
+        path = f"/resolve?name={HOST}&region=north"
+        address = site.fronts[0].settings.address
+        status, headers, _ = call(address, site.ports[3], path)
+        assert status in (200, 503) and headers["Connection"] == "close"
+        stop.join()
--- a/quetzalwall/request/attempts.py
+++ b/quetzalwall/request/attempts.py
@@ -129,6 +129,7 @@
             state.record_cached(req.object_key)
             self._cluster_state.fleet.announce_cached(state.name, req.object_key)
         self._hedging.record_attempt(req.route, choice, now - began, now)
+        self._latency.record_response_size(req.route, len(res.body))
         if choice.queueing_delay_s == 0 and not state.cold(now):
             rtt_s = self._latency.rtt_s(state.region)
             work = max(0.001, now - began - rtt_s) / choice.slowness  # seconds
--- a/quetzalwall/request/endpoint_chooser.py
+++ b/quetzalwall/request/endpoint_chooser.py
@@ -14,6 +14,7 @@
 from quetzalwall.request import reported_load
 from quetzalwall.request.candidate_sample import sample_candidates
 from quetzalwall.request.choice import OVERLOAD, STOPPING, Choice, Rejection
+from quetzalwall.request.grace_period import NOT_STOPPING
 from quetzalwall.request.latency_model import queueing_delay_s
 from quetzalwall.request.paused_endpoints import paused_s
 from quetzalwall.request.queueing_limits import create_queueing_limits
@@ -90,7 +91,7 @@
         now,
         tried=(),
         region=None,
-        stop_s=math.inf,
+        stop=NOT_STOPPING,
         max_queueing_s=None,
     ):
         """Return the endpoint for a request, or why the request is rejected.
@@ -113,8 +114,8 @@
             Endpoints of earlier attempts.
         region : str, default=None
             Region to which a shift moves the request; any if None.
-        stop_s : float, default=inf
-            Seconds until this instance stops.
+        stop : TimeToStop, default=NOT_STOPPING
+            The time until this instance stops.
         max_queueing_s : float, default=None
             Seconds that the request may queue; if None, what its route allows.
 
@@ -148,7 +149,7 @@
             choice = self._choose_allowed(costs, candidates, get_rank, object_key, now)
             if isinstance(choice, Rejection):
                 return choice
-        if not self.fits(route, choice, remaining_s, stop_s):
+        if not self.fits(route, choice, remaining_s, stop):
             return STOPPING
         if max_queueing_s is None:
             max_queueing_s = self._queueing_limits.max_s(cfg, route, service)
@@ -209,9 +210,11 @@
             wait_s = min(wait_s, state.advertised_limit.wait_s(now))
         return Rejection("limited", _retry_after_s(wait_s))
 
-    def fits(self, route, choice, remaining_s, stop_s):
+    def fits(self, route, choice, remaining_s, stop):
         """Return whether a request can be relied on to end before this instance stops.
 
+        It ends when its caller has read the complete response.
+
         Parameters
         ----------
         route : Route
@@ -220,18 +223,19 @@
             The endpoint chosen for it.
         remaining_s : float
             Seconds until the deadline, which ends the request in any case.
-        stop_s : float
-            Seconds until this instance stops.
+        stop : TimeToStop
+            The time until this instance stops.
 
         Returns
         -------
         bool
         """
-        if remaining_s <= stop_s:
+        if remaining_s <= stop.remaining_s:
             return True
         excess_s = self._latency.max_work_s(route)
         excess_s -= self._latency.work_s(route, choice.cached)
-        return choice.expected_s + choice.slowness * max(0.0, excess_s) <= stop_s
+        work_s = choice.expected_s + choice.slowness * max(0.0, excess_s)
+        return work_s + stop.delivery_s <= stop.remaining_s
 
     def _request_costs(self, route, service, candidates):
         latency, crowding = self._latency, reported_load.crowding_of(candidates)
--- a/quetzalwall/request/request.py
+++ b/quetzalwall/request/request.py
@@ -1,5 +1,6 @@
 """One request of a caller, and its result."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 import xxhash
@@ -46,6 +47,9 @@
     account : ClientAccount or None, default=None
         Client account whose key it has; None if its route needs none. The route has the
         account's rank and regions.
+    bytes_ahead : callable or None, default=None
+        Returns the bytes of earlier responses on the caller's connection that have not
+        been sent; None if the response waits for no others.
     """
 
     metadata: object
@@ -61,6 +65,7 @@
     sock: object
     reservation: object
     account: object = None
+    bytes_ahead: Callable | None = None
 
 
 class RequestResult(NamedTuple):
--- a/quetzalwall/request/request_reader.py
+++ b/quetzalwall/request/request_reader.py
@@ -126,7 +126,8 @@
             no region is allowed by both route and account, or there is no memory for
             the body.
         """
-        arrived = environ["quetzalwall.exchange"].arrived
+        exchange = environ["quetzalwall.exchange"]
+        arrived = exchange.arrived
         metadata = self._dialect.parse_request(environ)
         environ["quetzalwall.request_id"] = metadata.request_id
         host, target = self._dialect.host_and_path(environ)
@@ -163,6 +164,7 @@
             sock=environ.get("quetzalwall.socket"),
             reservation=reservation,
             account=account,
+            bytes_ahead=exchange.bytes_ahead,
         )
 
     def _find_account(self, cfg, route, metadata):
--- a/quetzalwall/request/request_server.py
+++ b/quetzalwall/request/request_server.py
@@ -141,7 +141,7 @@
             req.reservation.account = req.account.name
         # The caller may have disconnected before this process read the request.
         check_caller_connected(req)
-        if self._grace.accept_limit_s() == 0:
+        if self._grace.time_to_stop(req).remaining_s == 0:
             return self._reject(req.metadata, req.route.name, "admission", *STOPPING)
         rejection = self._admission.admit(req)
         if rejection is not None:
@@ -252,8 +252,7 @@
         now = self._monotonic()
         remaining_s = req.deadline - now
         ctx = (req.cfg, req.route, req.service, req.object_key, remaining_s, now, tried)
-        # Only the first attempt has to start while requests are accepted.
-        stop_s = self._grace.end - now if tried else self._grace.accept_limit_s()
+        stop = self._grace.time_to_stop(req)
         queueing_s = over_share = None
         if not tried:
             queueing_s, over_share = self._fairness.max_queueing_s(req, now)
@@ -261,11 +260,11 @@
         choice = Rejection("no shift", 0.0)
         if shift is not None:
             choice = self._chooser.choose(
-                *ctx, shift.shift.destination, stop_s, queueing_s
+                *ctx, shift.shift.destination, stop, queueing_s
             )
         if isinstance(choice, Rejection):
             shift = None
-            choice = self._chooser.choose(*ctx, None, stop_s, queueing_s)
+            choice = self._chooser.choose(*ctx, None, stop, queueing_s)
         if isinstance(choice, Rejection):
             return self._admission.explain_rejection(req, choice, over_share)
         if not tried:
--- a/quetzalwall/request/send_checks.py
+++ b/quetzalwall/request/send_checks.py
@@ -58,5 +58,6 @@
         raise NotSent("the endpoint leaves", "admission", name)
     if now < choice.state.paused_until:
         raise NotSent("the endpoint asks for no requests", "admission", name)
-    if not chooser.fits(req.route, choice, req.deadline - now, grace.end - now):
+    stop = grace.time_to_stop(req)
+    if not chooser.fits(req.route, choice, req.deadline - now, stop):
         raise NotSent(STOPPING.reason, "admission", name)
