Count own responses with a status from 400 on by status and cause

Reported: proper requests were rejected as if they were wrong (DENIED). Neither logs nor metrics told which of our own responses these were: 404, 400 and 413 of the application were not counted at all, 400 and 414 of the server neither, and no line gave the cause of a rejected head.

quetzalwall_client_errors_total counts those of the application by status and reason, quetzalwall_heads_rejected_total those of the server also for 400 and 414, and event=heads-refused names status, caller and cause of the last one. Responses of endpoints stay apart, as answers.

--- a/quetzalwall/connection/caller_connection.py
+++ b/quetzalwall/connection/caller_connection.py
@@ -48,14 +48,14 @@
     """
     length = environ.get("CONTENT_LENGTH", "")
     if is_decimal(length) and int(length) > max_bytes:
-        raise BadRequest(413, f"body is longer than {max_bytes} bytes")
+        raise BadRequest(413, f"body is longer than {max_bytes} bytes", "body")
     if not length and "HTTP_TRANSFER_ENCODING" not in environ:
         return b""
     body = bytearray()
     try:
         while chunk := environ["wsgi.input"].read(READ_BYTES):
             if len(body) + len(chunk) > max_bytes:
-                raise BadRequest(413, f"body is longer than {max_bytes} bytes")
+                raise BadRequest(413, f"body is longer than {max_bytes} bytes", "body")
             if not reservation.try_reserve(len(chunk)):
                 raise NoMemory
             body += chunk
--- a/quetzalwall/connection/http_server.py
+++ b/quetzalwall/connection/http_server.py
@@ -84,12 +84,15 @@
         HTTP status, 400 to 499.
     message : str
         What is wrong with the request.
+    reason : str, default="malformed"
+        The same in a word, for metrics.
     """
 
-    def __init__(self, status, message):
+    def __init__(self, status, message, reason="malformed"):
         super().__init__(message)
         self.status = status
         self.message = message
+        self.reason = reason
 
 
 class QuietHandler(WSGIHandler):
@@ -138,11 +141,11 @@
 
     def _handle_client_error(self, ex):
         status = head_rejection(ex)
+        if status is None and isinstance(ex, OSError):
+            return None
+        self.server.heads.record_rejected(status or 400, self.client_address, ex)
         if status is not None:
-            self.server.heads.record_rejected(status)
             return str(status), rejection_bytes(status)
-        if isinstance(ex, OSError):
-            return None
         return super()._handle_client_error(ex)
 
     def log_request(self):
--- a/quetzalwall/connection/pipelined_handler.py
+++ b/quetzalwall/connection/pipelined_handler.py
@@ -114,6 +114,8 @@
                 self._end_of_requests()
                 return None
             if len(line) >= MAX_REQUEST_LINE:
+                cause = f"request line of {len(line)} bytes"
+                self.server.heads.record_rejected(414, self.client_address, cause)
                 self._reject_malformed(414)
                 return None
             self.read_request(line)
--- a/quetzalwall/connection/request_heads.py
+++ b/quetzalwall/connection/request_heads.py
@@ -16,6 +16,7 @@
 MAX_HEAD_RATIO = 2  # of the configured maximum, if that is more
 MAX_HEAD_S = 12.0  # four times the platform's default for callers
 MAX_HEAD_TIME_RATIO = 4  # of the configured time-out, if that is more
+MAX_CAUSE_CHARACTERS = 80  # of a rejection that is logged
 MAX_LINES = 100  # with the empty one; the library's parser has the same limit
 PIECE_BYTES = 1024  # reserved before they are read
 # Bytes of memory per byte of a head: as read, in the parsed message and in the WSGI
@@ -26,7 +27,13 @@
 MEMORY_FRACTION = 0.5  # of the budget, so that bodies have room beside heads
 EVICTION_ROUNDS = 20  # in which evicted heads give their memory back
 MIN_EVICTED_FRACTION = 1 / 3  # of the time-out; younger heads aren't closed for others
-REASONS = {408: "timeout", 431: "length", 503: "memory"}
+REASONS = {
+    400: "malformed",
+    408: "timeout",
+    414: "request line",
+    431: "length",
+    503: "memory",
+}
 STATUS_TEXT = {
     400: "400 Bad Request",
     408: "408 Request Timeout",
@@ -87,6 +94,8 @@
         Bytes of the budget that heads take, those of running requests included.
     rejected : dict of str to int
         Number of rejected heads and bodies by reason.
+    last_rejected : str
+        Status, caller and cause of the last rejection of a head.
     """
 
     def __init__(self, memory_budget, monotonic):
@@ -94,6 +103,7 @@
         self.max_s = MAX_HEAD_S
         self.reserved_bytes = 0
         self.rejected = dict.fromkeys((*REASONS.values(), "framing"), 0)
+        self.last_rejected = ""
         self._budget = memory_budget
         self._monotonic = monotonic
         self._incomplete = {}  # heads and their first moments, oldest first
@@ -134,15 +144,20 @@
         self._incomplete[head] = self._monotonic()
         return head
 
-    def record_rejected(self, reason):
+    def record_rejected(self, reason, caller="", cause=""):
         """Count a rejected head or body.
 
         Parameters
         ----------
         reason : int or str
             Status of the rejection, or ``"framing"``.
+        caller : tuple, default=""
+            Address of the caller.
+        cause : object, default=""
+            What was wrong.
         """
         self.rejected[REASONS.get(reason, reason)] += 1
+        self.last_rejected = f"{reason} {caller} {str(cause)[:MAX_CAUSE_CHARACTERS]}"
 
     def remove(self, head):
         """Record that a head is complete or was given up.
--- a/quetzalwall/process/front_log.py
+++ b/quetzalwall/process/front_log.py
@@ -71,7 +71,9 @@
         """Log the counts that have changed since the last call."""
         counts = dict(self._heads.rejected)
         if counts != self._rejected_heads:
-            log_event(LOG, "heads-refused", "warning", **counts)
+            counts = {reason.replace(" ", "-"): n for reason, n in counts.items()}
+            last = self._heads.last_rejected
+            log_event(LOG, "heads-refused", "warning", **counts, last=last)
             self._rejected_heads = counts
         if self._deliveries.cut_off != self._cut_off:
             self._cut_off = dict(self._deliveries.cut_off)
--- a/quetzalwall/process/front_metrics.py
+++ b/quetzalwall/process/front_metrics.py
@@ -25,6 +25,7 @@
         self._hedges = self._counter("hedges", ["service", "result"])
         self._withheld = self._counter("hedges_withheld", ["service", "reason"])
         self._lookups = self._counter("lookups", [])
+        self._client_errors = self._counter("client_errors", ["status", "reason"])
         self._account_requests = self._counter(
             "account_requests", ["account", "result"]
         )
@@ -69,6 +70,20 @@
         """
         self._child(self._rejections, route, reason).inc()
 
+    def record_client_error(self, status, reason):
+        """Count a response of this instance that says that the request is wrong.
+
+        Responses of endpoints with such a status are counted as answers.
+
+        Parameters
+        ----------
+        status : int
+            HTTP status, 400 to 499.
+        reason : str
+            Label.
+        """
+        self._child(self._client_errors, str(status), reason).inc()
+
     def record_account(self, account, result):
         """Count a request of a client account.
 
--- a/quetzalwall/process/tests/test_stale_configuration.py
+++ b/quetzalwall/process/tests/test_stale_configuration.py
@@ -242,3 +242,15 @@
         front._settings_file = write_settings(body | {"bounds": {"failClosed": False}})
         front.reload()
         assert send(site) == 200
+
+
+# DENIED: responses of the instance itself with a status from 400 on could not be told
+# apart by their cause.
+def test_own_responses_that_say_that_a_request_is_wrong_are_counted_by_reason():
+    with running_site() as site:
+        front = site.fronts[0]
+        assert site.get("/none/1")[0] == 404
+        assert site.get("/book/1", 0, "POST", b"x" * 1_000_001)[0] == 413
+        text = front.metrics.render().decode()
+        for labels in ('reason="no route",status="404"', 'reason="body",status="413"'):
+            assert f"client_errors_total{{{labels}}} 1.0" in text, text
--- a/quetzalwall/request/request_reader.py
+++ b/quetzalwall/request/request_reader.py
@@ -49,7 +49,7 @@
     """
 
     def __init__(self, route):
-        super().__init__(401, "unknown key")
+        super().__init__(401, "unknown key", "unknown key")
         self.route = route
 
 
@@ -137,7 +137,7 @@
         if route is None:
             path = target.partition("?")[0]
             log_no_route(metadata, host, path, cfg.version)
-            raise BadRequest(404, f"no route for {host}{path[:80]}")
+            raise BadRequest(404, f"no route for {host}{path[:80]}", "no route")
         account = self._find_account(cfg, route, metadata)
         if account is not None:
             metadata = metadata._replace(account=account.name)
--- a/quetzalwall/request/request_server.py
+++ b/quetzalwall/request/request_server.py
@@ -185,6 +185,7 @@
         -------
         Response
         """
+        self._metrics.record_client_error(exc.status, exc.reason)
         return self._dialect.bad_request(exc)
 
     def _serve(self, req):
@@ -291,7 +292,7 @@
     def _failure_result(self, req, exc):
         if isinstance(exc, KeyRevoked):
             self._metrics.record_rejection(req.route.name, exc.message)
-            error = self._dialect.bad_request(BadRequest(401, exc.message))
+            error = self.malformed_response(BadRequest(401, exc.message, "revoked"))
             return RequestResult(error, "refused")
         if isinstance(exc, ConfigurationStale):
             fields = req.metadata, req.route.name, "admission", *STALE_CONFIGURATION
