Reject as wrong only by a configuration that must still be active

Cause: 404, 401 and 413 followed from whatever configuration was active here, however old, and from the one of the moment at which the head was read, even if the request had waited on its connection since. Only keys that are known asked for freshness, and only up to the bound of withdrawal.

Change: such a response needs a proof that the table was current config less 1 s ago, and that no later configuration is active; otherwise the request gets 503, not run. A request without a key still gets 401, and the settings tree, which has no such bound, 404.

--- a/quetzalwall/process/cluster/freshness.py
+++ b/quetzalwall/process/cluster/freshness.py
@@ -15,6 +15,9 @@
 # From the check of a request to its arrival at the endpoint, and what the age in a
 # report leaves out; docs/design/client-accounts.md gives the sum.
 MARGIN_S = 0.6
+# Of the time in which a change has to be active: some responses of the store miss the
+# changes of the last second.
+CONFIG_MARGIN_S = 1.0
 MAX_DRAIN_GAP_S = 0.5  # a longer time without reading the socket is a stall
 MAX_SEND_DELAY_S = 0.2  # after which the age in a report is no longer sent
 MAX_LATE_RESPONSE_S = 0.5  # later, a stall may hide that the store responded early
@@ -38,14 +41,16 @@
     ----------
     fail_closed : bool
         Whether requests with a key are rejected while the table is stale.
+    followed : bool
+        Whether this process follows the operators' table at all.
     now : callable
         The clock.
     """
 
     def __init__(self, monotonic):
-        self.fail_closed = False
+        self.fail_closed = self.followed = False
         self.now = monotonic
-        self._max_age_s = math.inf
+        self._max_age_s = self._max_current_age_s = math.inf
         self._as_of = -math.inf
         self._own_as_of = -math.inf
         self._applied = None
@@ -64,6 +69,7 @@
             The operators' bounds.
         """
         self.fail_closed = bounds.fail_closed
+        self._max_current_age_s = max(0.0, bounds.config_s - CONFIG_MARGIN_S)
         self._max_age_s = math.inf
         if bounds.fail_closed:
             self._max_age_s = bounds.revoke_s - MARGIN_S
@@ -77,6 +83,17 @@
         """
         return self.age_s() > self._max_age_s
 
+    def is_current(self):
+        """Return whether all changes are known that have to be active by now.
+
+        Otherwise, what the known configuration does not contain may exist.
+
+        Returns
+        -------
+        bool
+        """
+        return not self.followed or self.age_s() <= self._max_current_age_s
+
     def age_s(self):
         """Return the age of the as-of moment.
 
--- a/quetzalwall/process/cluster/store_watch.py
+++ b/quetzalwall/process/cluster/store_watch.py
@@ -95,6 +95,7 @@
         self._freshness = None
         if table == OPERATOR_TABLE:
             self._freshness = fleet.table_updates.freshness
+            self._freshness.followed = True
         self._apply_lock = BoundedSemaphore(1)
         self._tasks = []
 
--- a/quetzalwall/process/tests/test_stale_configuration.py
+++ b/quetzalwall/process/tests/test_stale_configuration.py
@@ -21,7 +21,9 @@
 from quetzalwall.tests.daemon_fixture import START_TIMEOUT_S, running_daemon
 from quetzalwall.tests.platform_fixtures import (
     call,
+    config_body,
     own_address,
+    route_row,
     running_site,
     settings_body,
     start_front,
@@ -35,6 +37,7 @@
 CREDENTIAL = "X_Quetzalwall_Credential"
 BOTH = [account_row(), account_row("beta", [OTHER_KEY])]
 REVOKED = [account_row(keys=()), account_row("beta", [OTHER_KEY])]
+CONFIG_S = 2.5
 STALL_S = 6.0
 EVENTS = ("stale", "current")
 
@@ -244,6 +247,40 @@
         assert send(site) == 200
 
 
+# DENIED: an instance answered 404 and 401 from a configuration that was not allowed to
+# be active any more, for a route and a key that had been added since.
+def test_what_a_later_configuration_may_allow_is_not_rejected_as_wrong():
+    with closed_site() as site:
+        assert site.get("/new/1")[0] == 404 and send(site, "unknown") == 401
+        site.proxies[0].fault = "silent"
+        gevent.sleep(CONFIG_S)
+        status, headers, body = site.get("/new/1")
+        assert (status, float(headers["Retry-After"])) == (503, 0.5), body
+        assert send(site, "unknown") == 503
+        site.proxies[0].fault = None
+        wait_for(lambda: site.get("/new/1")[0] == 404)
+
+
+# DENIED: a request that waited on its connection was answered by the configuration of
+# the moment at which it had been read.
+def test_a_route_that_is_added_while_a_request_waits_is_not_rejected_as_wrong():
+    with running_site() as site:
+        reader, state = site.fronts[0]._reader, site.fronts[0].cluster_state
+        is_idempotent = reader.is_idempotent
+
+        def change_after_match(environ):
+            result = is_idempotent(environ)
+            if environ["PATH_INFO"] == "/new/1":
+                site.write_config(config_body(2, [route_row("new", "/new/")]))
+                wait_for(lambda: state.configuration().version == 2)
+            return result
+
+        server = site.fronts[0]._servers["callers"]
+        server.pipelining = server.pipelining._replace(is_idempotent=change_after_match)
+        assert site.get("/new/1")[0] == 503
+        assert site.get("/new/2")[0] == 200
+
+
 # DENIED: responses of the instance itself with a status from 400 on could not be told
 # apart by their cause.
 def test_own_responses_that_say_that_a_request_is_wrong_are_counted_by_reason():
--- a/quetzalwall/request/account_access.py
+++ b/quetzalwall/request/account_access.py
@@ -33,15 +33,15 @@
     if req.route.public:
         return
     cfg = cluster_state.configuration()
+    freshness = cluster_state.fleet.table_updates.freshness
     if cfg is not req.cfg and cfg.accounts is not None:
         account = cfg.accounts.find(req.metadata.credential)
+        if account is None and not freshness.is_current():
+            raise ConfigurationStale(STALE_CONFIGURATION.reason, "admission")
         if account is None:
             log_unknown_key(req.metadata, req.route, cfg.version)
             raise KeyRevoked("unknown key", "admission")
         if req.account is None or account.name != req.account.name:
             raise NotSent("the accounts changed", "admission")
-    if (
-        req.account is not None
-        and cluster_state.fleet.table_updates.freshness.is_stale()
-    ):
+    if req.account is not None and freshness.is_stale():
         raise ConfigurationStale(STALE_CONFIGURATION.reason, "admission")
--- a/quetzalwall/request/request_reader.py
+++ b/quetzalwall/request/request_reader.py
@@ -135,6 +135,7 @@
         if cfg is None:
             raise Refused(metadata, "", NO_CONFIG)
         if route is None:
+            self._check_current(cfg, metadata, "")
             path = target.partition("?")[0]
             log_no_route(metadata, host, path, cfg.version)
             raise BadRequest(404, f"no route for {host}{path[:80]}", "no route")
@@ -149,6 +150,9 @@
             body = read_body(environ, cfg.limits.max_body_bytes, reservation)
         except NoMemory:
             raise Refused(metadata, route.name, NO_ROOM_IN_MEMORY) from None
+        except BadRequest:
+            self._check_current(cfg, metadata, route.name)
+            raise
         limit_s = min_of_known(metadata.timeout_s, route.timeout_s)
         return Request(
             metadata=metadata,
@@ -167,6 +171,15 @@
             bytes_ahead=exchange.bytes_ahead,
         )
 
+    def _check_current(self, cfg, metadata, route):
+        """Raise if a configuration may allow what the one of the request does not.
+
+        A later one may be active here since the request was read, or elsewhere.
+        """
+        latest = self._cluster_state.configuration()
+        if cfg is not latest or not self._freshness.is_current():
+            raise Refused(metadata, route, STALE_CONFIGURATION)
+
     def _find_account(self, cfg, route, metadata):
         """Return the account of a request; None if its route needs none."""
         if cfg.accounts is None or route.public:
@@ -178,6 +191,8 @@
             metadata = metadata._replace(account=name)
             raise Refused(metadata, route.name, STALE_CONFIGURATION)
         if account is None:
+            if metadata.credential:
+                self._check_current(cfg, metadata, route.name)
             log_unknown_key(metadata, route, cfg.version)
             raise UnknownKey(route.name)
         return account
