Free what a failed attempt received, and bound the fields of a head

Callers saw (reported by operators of similar systems): an endpoint sent bytes without end, the instance grew beyond its machine's memory and ended, and all its requests with it (LOST).

Cause: what an attempt had received was counted until it ended, but lived as long as the traceback of its error, which is kept while the next endpoint is tried. A head was limited to 128 KB only, which is 20,000 fields.

Change: an attempt frees its parser's buffers when it ends; a head, with its trailers, has at most 256 fields.

--- a/quetzalwall/connection/endpoint_client.py
+++ b/quetzalwall/connection/endpoint_client.py
@@ -227,7 +227,7 @@
         self._client = client
         self._req = req
         self._conn = None
-        self._sender = None
+        self._sender = self._parser = None
         self._send_failed = False
         self._ended = False  # the end of the stream has been read
         self._reserved_bytes = 0
@@ -241,7 +241,7 @@
         self._conn.record_request(request_id)
         self._send(raw)
         self._client.count_bytes("request", len(raw))
-        parser = ResponseParser(self._req.method)
+        parser = self._parser = ResponseParser(self._req.method)
         try:
             response, metadata = self._receive(parser)
         except BaseException:
@@ -263,6 +263,9 @@
             self._sender.kill()
         if self._conn is not None:
             self._conn.close()
+        if self._parser is not None:
+            # The traceback of a failure may refer to it for as long as the request.
+            self._parser.discard()
         if self._reserved_bytes:
             self._req.reservation.release(self._reserved_bytes)
 
--- a/quetzalwall/connection/response_checks.py
+++ b/quetzalwall/connection/response_checks.py
@@ -15,6 +15,7 @@
 __all__ = ["StrictResponse", "is_closed_in_order"]
 
 STATUSES = range(100, 600)
+MAX_FIELDS = 256  # of a head, with trailers; each takes far more memory than its bytes
 FIELD_NAME_PATTERN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]*")  # RFC 9110, token
 CLOSE_WAIT = 8  # state in tcp_info: the peer has sent FIN, and neither side a reset
 UNKNOWN_STATE = 0  # of systems that don't tell it; no state has this number
@@ -42,6 +43,12 @@
         if not FIELD_NAME_PATTERN.fullmatch(string):
             raise HTTPParseError(f"not the name of a field: {string[:40]!r}")
         super()._on_header_field(string)
+        if self._header_position > MAX_FIELDS:
+            raise HTTPParseError(f"more than {MAX_FIELDS} fields")
+
+    def _on_message_begin(self):
+        super()._on_message_begin()
+        self._header_position = 1
 
 
 def is_closed_in_order(sock, is_sent=None, timeout_s=None):
--- a/quetzalwall/connection/response_parser.py
+++ b/quetzalwall/connection/response_parser.py
@@ -87,6 +87,13 @@
                 response._replace(reusable=False) for response in self.responses
             ]
 
+    def discard(self):
+        """Free the memory of everything that was received."""
+        self.responses = []
+        self._final_headers = []
+        self._headers_index.clear()
+        self._body_buffer = bytearray()
+
     def exceeds_overhead(self):
         """Return whether heads and framing are longer than any response needs.
 
