Bound responses of the store and of peers to what fits the memory

Seen when looking for the same fault on other paths: a store, or a peer, that sends a body without end made the process grow to 166 to 193 MB on a machine with 152 MB.

Cause: responses to JSON calls could have 16 MB each, are copied once, and several are read at a time without being counted.

Change: at most 4 MB, and the buffer of a failed call is freed. The store sends pages of 1 MB.

--- a/quetzalwall/connection/json_client.py
+++ b/quetzalwall/connection/json_client.py
@@ -11,7 +11,7 @@
 
 __all__ = ["JsonResponse", "JsonClient", "create_json_client"]
 
-MAX_RESPONSE_BYTES = 16 * 1024 * 1024  # the store sends pages of 1 MB
+MAX_RESPONSE_BYTES = 4 * 1024 * 1024  # the store sends pages of 1 MB
 JSON_HEADERS = {"Content-Type": "application/json"}
 
 
@@ -130,7 +130,7 @@
             raise OSError(f"answer is longer than {MAX_RESPONSE_BYTES} bytes")
         return raw
     finally:
-        res.release()
+        res.discard_body()
 
 
 def create_json_client(
--- a/quetzalwall/process/tests/test_endless_answers.py
+++ b/quetzalwall/process/tests/test_endless_answers.py
@@ -140,3 +140,16 @@
         peak = peak_bytes(run.process.pid)
         assert gets_response(run.callers_address, "/look/2", 200)
         assert peak < MEMORY_MB * MB, f"{peak / MB:.1f} MB"
+
+
+# The same for responses of the store, of which several are read at a time.
+@params("body without a length", "chunks", "fields")
+def test_endless_responses_of_the_store_fit_the_memory_of_the_machine(pattern):
+    with running_sender(pattern) as (host, port):
+        settings = {"memory_mb": MEMORY_MB, "store": f"{host}:{port}"}
+        with running_daemon(settings) as run:
+            wait_for(run.has_started, START_TIMEOUT_S)
+            gevent.sleep(CROWD_S)
+            assert run.process.poll() is None
+            peak = peak_bytes(run.process.pid)
+            assert peak < MEMORY_MB * MB, f"{peak / MB:.1f} MB"
