Compress tables that instances fetch from one another

Cause: an export of the operators' table takes 159 KB. In the storm all instances of a region that do not follow the store fetch one from those that do; 99 of 101 failed fetches in the logs of 13 instances ended at their time-out of 0.8 s, and after 0.8 s the instances ask the store instead, all at once, which takes longer still. late_s reached 3.5 s.

Change: exports of 4 KB or more are compressed (deflate) if the asking instance accepts that; the decoded length is bounded.

--- a/quetzalwall/connection/http_server.py
+++ b/quetzalwall/connection/http_server.py
@@ -11,6 +11,7 @@
 from gevent.pywsgi import MAX_REQUEST_LINE, WSGIHandler
 
 from quetzalwall.connection.body_input import BoundedBody
+from quetzalwall.connection.compression import compress
 from quetzalwall.connection.digits import is_decimal
 from quetzalwall.connection.idle_connections import IdleConnections
 from quetzalwall.connection.memory_budget import MemoryBudget
@@ -333,7 +334,7 @@
     return STATUS_TEXT.get(status, f"{status} Status")
 
 
-def json_response(start_response, status, body, headers=()):
+def json_response(start_response, status, body, headers=(), compressed=False):
     """Send a response in JSON.
 
     Parameters
@@ -346,6 +347,8 @@
         Encoded as JSON with sorted keys.
     headers : sequence of (str, str), default=()
         Further headers.
+    compressed : bool, default=False
+        Whether to compress a long body.
 
     Returns
     -------
@@ -353,6 +356,9 @@
         The body, for the WSGI server.
     """
     raw = msgspec.json.encode(body, order="sorted")
+    if compressed:
+        raw, coding = compress(raw)
+        headers = [*headers, *coding]
     base_headers = [
         ("Content-Type", "application/json"),
         ("Content-Length", str(len(raw))),
--- a/quetzalwall/connection/json_client.py
+++ b/quetzalwall/connection/json_client.py
@@ -6,12 +6,14 @@
 import msgspec
 from geventhttpclient.response import HTTPParseError
 
+from quetzalwall.connection.compression import decompress
 from quetzalwall.connection.single_attempt import OutgoingRequest, create_client
 from quetzalwall.exceptions import EndpointError, PeerError
 
 __all__ = ["JsonResponse", "JsonClient", "create_json_client"]
 
 MAX_RESPONSE_BYTES = 4 * 1024 * 1024  # the store sends pages of 1 MB
+MAX_DECODED_BYTES = 16 * 1024 * 1024  # of a compressed response
 JSON_HEADERS = {"Content-Type": "application/json"}
 
 
@@ -109,7 +111,9 @@
             res = self._http.send(req, limit_s)
             raw = _read_bounded(res)
             self.exchanged_bytes += len(req.body) + len(raw)
-        except (EndpointError, HTTPParseError, OSError) as exc:
+            coding = str(res.get("content-encoding") or "")
+            raw = decompress(raw, coding, MAX_DECODED_BYTES)
+        except (EndpointError, HTTPParseError, OSError, ValueError) as exc:
             raise PeerError(str(exc), target, self.peer) from exc
         try:
             decoded = msgspec.json.decode(raw) if raw else None
--- a/quetzalwall/process/cluster/peer_tables.py
+++ b/quetzalwall/process/cluster/peer_tables.py
@@ -4,6 +4,7 @@
 
 import xxhash
 
+from quetzalwall.connection.compression import ACCEPTED
 from quetzalwall.connection.json_client import create_json_client
 from quetzalwall.exceptions import PeerError
 from quetzalwall.logs import get_logger, log_event
@@ -119,7 +120,8 @@
 def _request_table(address, table, after):
     client = create_json_client(*address, f"instance {address[0]}", REQUEST_TIMEOUT_S)
     try:
-        response = client.call("GET", f"/tables/{table}?after={after}&listing=1")
+        target = f"/tables/{table}?after={after}&listing=1"
+        response = client.call("GET", target, headers=ACCEPTED)
         if response.status != 200:
             return None
         return read_exported(response.body, address[0])
--- a/quetzalwall/process/front_interfaces.py
+++ b/quetzalwall/process/front_interfaces.py
@@ -3,6 +3,7 @@
 from functools import partial
 from urllib.parse import parse_qs
 
+from quetzalwall.connection.compression import accepts_compressed
 from quetzalwall.connection.digits import is_decimal
 from quetzalwall.connection.front_server import CLOSE_HEADER
 from quetzalwall.connection.http_server import (
@@ -188,7 +189,8 @@
         exported = front.cluster_state.export(table, int(after), listing)
     if exported is None:
         return json_response(start_response, 404, {"error": "not known here"})
-    body = json_response(start_response, 200, exported)
+    compressed = accepts_compressed(environ)
+    body = json_response(start_response, 200, exported, compressed=compressed)
     for peer in front.fleet.peers():
         if peer.info.host == environ["REMOTE_ADDR"]:
             size = len(body[0])
