Accept request lines up to the limit of a head

Cause: the library's constant for a request line was used as its limit.

Change: the limit of a head applies to its first line as well.

--- a/quetzalwall/connection/http_server.py
+++ b/quetzalwall/connection/http_server.py
@@ -8,7 +8,7 @@
 import gevent
 import msgspec
 from gevent.pool import Pool
-from gevent.pywsgi import MAX_REQUEST_LINE, WSGIHandler
+from gevent.pywsgi import WSGIHandler
 
 from quetzalwall.connection.body_input import BoundedBody
 from quetzalwall.connection.compression import compress
@@ -179,7 +179,7 @@
         str
         """
         self.head = self.server.heads.begin(self.socket, self.rfile, self.server)
-        return self.head.readline(MAX_REQUEST_LINE).decode("latin-1")
+        return self.head.readline(self.server.heads.max_bytes).decode("latin-1")
 
     def read_request(self, raw_requestline):
         """Read the rest of a head.
--- a/quetzalwall/connection/pipelined_handler.py
+++ b/quetzalwall/connection/pipelined_handler.py
@@ -13,7 +13,6 @@
 
 import gevent
 import gevent.event
-from gevent.pywsgi import MAX_REQUEST_LINE
 
 from quetzalwall.connection.caller_connection import CallerLeft, is_closed
 from quetzalwall.connection.exchange import create_exchange
@@ -113,7 +112,7 @@
             if not line:
                 self._end_of_requests()
                 return None
-            if len(line) >= MAX_REQUEST_LINE:
+            if len(line) >= self.server.heads.max_bytes:
                 cause = f"request line of {len(line)} bytes"
                 self.server.heads.record_rejected(414, self.client_address, cause)
                 self._reject_malformed(414)
--- a/quetzalwall/process/tests/test_request_heads.py
+++ b/quetzalwall/process/tests/test_request_heads.py
@@ -140,3 +140,12 @@
             pass
         wait_for(lambda: site.fronts[0].heads.rejected["framing"] == 1)
         assert not site.endpoints[0].arrivals
+
+
+# DENIED: the library's limit of 8,192 bytes on a request line rejected heads that were
+# within the configured maximum.
+def test_a_request_line_within_the_limit_of_a_head_is_served():
+    with running_site(endpoints=1) as site:
+        target = "/look/" + "a" * 15_000
+        assert site.get(target)[0] == 200
+        assert site.get("/look/" + "a" * 40_000)[0] in (414, 431)
