--- a/quetzalwall/connection/json_client.py
+++ b/quetzalwall/connection/json_client.py
@@ -134,7 +134,7 @@
             raise OSError(f"answer is longer than {MAX_RESPONSE_BYTES} bytes")
         return raw
     finally:
-        res.discard_body()
+        res.release()
 
 
 def create_json_client(
--- a/quetzalwall/connection/single_attempt.py
+++ b/quetzalwall/connection/single_attempt.py
@@ -311,11 +311,6 @@
         self._request_id = "discarded"
         self.release()
 
-    def discard_body(self):
-        """Free the memory of the body, and the connection."""
-        self._body_buffer = bytearray()
-        self.release()
-
     def is_fully_read(self):
         """Return whether the response is complete and its body was read.
 
