Look at the progress of responses in the round that makes room

The progress of responses was looked at by a task of its own, four times a second on each instance; each of its wake-ups costs processor time. The round that evicts idle connections has the same period.

--- a/quetzalwall/process/front.py
+++ b/quetzalwall/process/front.py
@@ -52,7 +52,6 @@
 TICK_PERIOD_S = 0.5
 SETTINGS_PERIOD_S = 1.0
 EVICTION_PERIOD_S = 0.25  # callers abandon a connection that waits 1 s to be accepted
-OBSERVATION_PERIOD_S = 0.25  # between two looks at the responses that are being sent
 REJECTED_PERIOD_S = 10.0  # a flood of malformed input gets one log line in this time
 TRAFFIC_PERIOD_S = 10.0  # between two log lines of the bytes exchanged so far
 EXPIRY_PERIOD_S = 0.25  # an expired entry removed this late is still within its bound
@@ -179,7 +178,6 @@
             repeat(self._check_settings, SETTINGS_PERIOD_S),
             repeat(self.self_watch.look, CHECK_PERIOD_S),
             repeat(self._make_room, EVICTION_PERIOD_S),
-            repeat(self.deliveries.observe, OBSERVATION_PERIOD_S),
             repeat(self._rejection_log.write, REJECTED_PERIOD_S),
             repeat(self.endpoints.drop_lapsed, EXPIRY_PERIOD_S),
             repeat(self._configuration_sync.check, SYNC_PERIOD_S),
@@ -293,6 +291,7 @@
         log_traffic(self.exchanged_bytes())
 
     def _make_room(self):
+        self.deliveries.observe()
         self.heads.close_overdue()
         for name, server in self._servers.items():
             if ended := server.idle.evict(server.pool):
