Measure idle work of both sizes in turns

Cause: other processes that use up the caches slow the large deployment down more than the small one, and all runs of the large one came first, within a second.

The runs of both sizes now alternate, and the fastest of eight of each count instead of three. The bound is the same.

--- a/quetzalwall/process/cluster/tests/test_idle_work.py
+++ b/quetzalwall/process/cluster/tests/test_idle_work.py
@@ -14,7 +14,7 @@
 TABLES = {"op": 1, "servers": 9}
 DURATION_S = 30
 TICKS_PER_S = 10
-REPETITIONS = 3  # the fastest run counts
+REPETITIONS = 8  # the fastest run of each size counts
 MAX_GROWTH = 3.0  # of the processor time, with ten times as many instances
 
 
@@ -39,25 +39,25 @@
 
 def idle_cpu_s(instances):
     """Return the processor time that an instance takes in 30 s without requests."""
-    runs_s = []
-    for _ in range(REPETITIONS):
-        clock, cpu_s = ManualClock(), 0.0
-        fleet = create_idle_fleet(instances, clock)
-        for step in range(DURATION_S * TICKS_PER_S):
-            clock.now += 1 / TICKS_PER_S
-            if step % TICKS_PER_S == 0:
-                receive_reports(fleet, instances, clock.now, step)
-            started = time.process_time()
-            fleet.check_timeouts(clock.now)
-            fleet.due_reports(clock.now)
-            for table in TABLES:
-                follows_store(fleet) or peers_ahead(fleet, table)
-            cpu_s += time.process_time() - started
-        runs_s.append(cpu_s)
-    return min(runs_s)
+    clock, cpu_s = ManualClock(), 0.0
+    fleet = create_idle_fleet(instances, clock)
+    for step in range(DURATION_S * TICKS_PER_S):
+        clock.now += 1 / TICKS_PER_S
+        if step % TICKS_PER_S == 0:
+            receive_reports(fleet, instances, clock.now, step)
+        started = time.process_time()
+        fleet.check_timeouts(clock.now)
+        fleet.due_reports(clock.now)
+        for table in TABLES:
+            follows_store(fleet) or peers_ahead(fleet, table)
+        cpu_s += time.process_time() - started
+    return cpu_s
 
 
 # Ten times a second each instance iterated over all others and, for each report, over
 # all endpoints, so that a large simulated deployment was too slow (incident report 3).
 def test_idle_work_hardly_grows_with_the_deployment():
-    assert idle_cpu_s(LARGE) < MAX_GROWTH * idle_cpu_s(SMALL)
+    # In turns, since other processes that use the caches slow the large one down more.
+    runs = [(idle_cpu_s(SMALL), idle_cpu_s(LARGE)) for _ in range(REPETITIONS)]
+    small_s, large_s = (min(times_s) for times_s in zip(*runs, strict=True))
+    assert large_s < MAX_GROWTH * small_s
