Read the body of a request that offers an upgrade

Cause: for such requests the library puts the connection itself in place of the body, and a read from it ends only with 64 KB or the connection. Endpoints received nothing, and each connection carried one request, so that neither an endpoint nor the order of responses was the reason.

The environment now always has the library's input, which ends with the body; the offer is ignored, as a server may.

--- a/quetzalwall/connection/http_server.py
+++ b/quetzalwall/connection/http_server.py
@@ -217,6 +217,8 @@
         environ = super().get_environ()
         body_input = self.wsgi_input
         body_input.rfile = BoundedBody(body_input, self.rfile, self._end_malformed)
+        # The library passes on the connection itself if an upgrade is offered.
+        environ |= {"wsgi.input": body_input, "wsgi.input_terminated": True}
         return environ
 
     def _end_malformed(self):
