Accept heads of as many fields as fit the configured length

What callers saw: a head of more than 100 fields got 431, although it was within the configured maximum length of a head.

Cause: the library's reader of fields has a limit of its own, and the limit on lines of a head repeated it.

Fields are read by a function of our own, with the library's parser; as many lines are allowed as fit the configured length. Memory is counted by line, as before. The test of the limit on lines sets 100 lines itself, since that is no longer the default, which another test now states.

--- a/quetzalwall/connection/http_server.py
+++ b/quetzalwall/connection/http_server.py
@@ -2,7 +2,6 @@
 
 import sys
 import time
-from http.client import HTTPException
 from typing import NamedTuple
 
 import gevent
@@ -13,6 +12,7 @@
 from quetzalwall.connection.body_input import BoundedBody
 from quetzalwall.connection.compression import compress
 from quetzalwall.connection.digits import is_decimal
+from quetzalwall.connection.header_fields import read_fields
 from quetzalwall.connection.idle_connections import IdleConnections
 from quetzalwall.connection.memory_budget import MemoryBudget
 from quetzalwall.connection.nodelay import NoDelayServer
@@ -30,7 +30,6 @@
     "HttpLimits",
     "QuietHandler",
     "create_server",
-    "head_rejection",
     "json_response",
     "read_json",
     "status_line",
@@ -141,11 +140,11 @@
         self.requestline = self.path = None
 
     def _handle_client_error(self, ex):
-        status = head_rejection(ex)
-        if status is None and isinstance(ex, OSError):
+        if isinstance(ex, OSError):
             return None
-        self.server.heads.record_rejected(status or 400, self.client_address, ex)
-        if status is not None:
+        status = ex.status if isinstance(ex, HeadRejected) else 400
+        self.server.heads.record_rejected(status, self.client_address, ex)
+        if status != 400:
             return str(status), rejection_bytes(status)
         return super()._handle_client_error(ex)
 
@@ -205,7 +204,7 @@
         -------
         http.client.HTTPMessage
         """
-        return super().MessageClass(self.head, 0)
+        return read_fields(self.head, self.server.heads.max_bytes)
 
     def get_environ(self):
         """Return the WSGI environment of the request.
@@ -264,24 +263,6 @@
             self._pending += data
 
 
-def head_rejection(exc):
-    """Return the status with which an exception rejects a head.
-
-    Parameters
-    ----------
-    exc : Exception
-        Raised while the head was read.
-
-    Returns
-    -------
-    int or None
-        None if it has another cause.
-    """
-    if isinstance(exc, HeadRejected):
-        return exc.status
-    return 431 if isinstance(exc, HTTPException) else None  # too many fields
-
-
 def create_server(
     address, port, application, limits=None, handler=QuietHandler, heads=None
 ):
--- a/quetzalwall/connection/pipelined_handler.py
+++ b/quetzalwall/connection/pipelined_handler.py
@@ -19,11 +19,10 @@
 from quetzalwall.connection.http_server import (
     STALL_TIMEOUT_S,
     QuietHandler,
-    head_rejection,
 )
 from quetzalwall.connection.memory_budget import MemoryBudget
 from quetzalwall.connection.pipeline import Admission, create_pipeline
-from quetzalwall.connection.request_heads import rejection_bytes
+from quetzalwall.connection.request_heads import HeadRejected, rejection_bytes
 from quetzalwall.connection.slow_readers import Deliveries
 
 __all__ = ["PipelinedHandler", "Pipelining"]
@@ -123,7 +122,8 @@
             raise
         except Exception as exc:
             self._handle_client_error(exc)
-            self._reject_malformed(head_rejection(exc) or 400)
+            status = exc.status if isinstance(exc, HeadRejected) else 400
+            self._reject_malformed(status)
             return None
 
     def read_requestline(self):
--- a/quetzalwall/connection/request_heads.py
+++ b/quetzalwall/connection/request_heads.py
@@ -17,7 +17,7 @@
 MAX_HEAD_S = 12.0  # four times the platform's default for callers
 MAX_HEAD_TIME_RATIO = 4  # of the configured time-out, if that is more
 MAX_CAUSE_CHARACTERS = 80  # of a rejection that is logged
-MAX_LINES = 100  # with the empty one; the library's parser has the same limit
+MIN_FIELD_BYTES = 4  # of a name, a colon and the end of the line
 PIECE_BYTES = 1024  # reserved before they are read
 # Bytes of memory per byte of a head: as read, in the parsed message and in the WSGI
 # environment; and per line, for the strings and tuples that contain it.
@@ -90,6 +90,8 @@
     ----------
     max_bytes : int
         Maximum length of a head.
+    max_lines : int
+        Maximum number of lines of a head.
     max_s : float
         Maximum time from the first byte of a head to its last.
     reserved_bytes : int
@@ -101,8 +103,7 @@
     """
 
     def __init__(self, memory_budget, monotonic):
-        self.max_bytes = MAX_REQUEST_HEAD_BYTES
-        self.max_s = MAX_HEAD_S
+        self.configure(0, 0.0)
         self.reserved_bytes = 0
         self.rejected = dict.fromkeys((*REASONS.values(), "framing"), 0)
         self.last_rejected = ""
@@ -124,6 +125,7 @@
             Configured time for a head.
         """
         self.max_bytes = max(MAX_REQUEST_HEAD_BYTES, MAX_HEAD_RATIO * max_header_bytes)
+        self.max_lines = self.max_bytes // MAX_HEAD_RATIO // MIN_FIELD_BYTES
         self.max_s = max(MAX_HEAD_S, MAX_HEAD_TIME_RATIO * header_timeout_s)
 
     def begin(self, sock, rfile, server):
@@ -306,7 +308,7 @@
         ConnectionError
             The connection has ended within the head.
         """
-        if self._lines > MAX_LINES:
+        if self._lines > self._heads.max_lines:
             raise HeadRejected(431)
         self._lines += 1
         line = self._read_piece(limit)
--- a/quetzalwall/connection/tests/test_request_heads.py
+++ b/quetzalwall/connection/tests/test_request_heads.py
@@ -37,8 +37,10 @@
     heads, _, _ = create_heads()
     heads.configure(100, 0.1)
     assert (heads.max_bytes, heads.max_s) == (32 * 1024, 12.0)
+    assert heads.max_lines == 4096  # of four bytes each in 16 KB
     heads.configure(100_000, 10.0)
     assert (heads.max_bytes, heads.max_s) == (200_000, 40.0)
+    assert heads.max_lines == 25_000
 
 
 # A head must not begin to run if its bytes arrive while it is being given up.
@@ -83,6 +85,7 @@
 def test_lines_and_bytes_of_a_head_are_limited():
     heads, _, _ = create_heads()
     many, sock = begin_head(heads, b"a: b\r\n" * 200)
+    heads.max_lines = 100
     with sock:
         read = [status_of(many.readline, 65537) for _ in range(102)]
         assert read == [None] * 101 + [431]  # the request line and 100 lines
--- a/quetzalwall/process/tests/test_request_heads.py
+++ b/quetzalwall/process/tests/test_request_heads.py
@@ -149,3 +149,19 @@
         target = "/look/" + "a" * 15_000
         assert site.get(target)[0] == 200
         assert site.get("/look/" + "a" * 40_000)[0] in (414, 431)
+
+
+# DENIED: the library's limit of 100 fields rejected heads that were within the
+# configured maximum.
+def test_a_head_of_many_fields_within_the_limit_of_a_head_is_served():
+    with running_site(endpoints=1) as site, connect(site) as sock:
+        head = START + "Connection: close\r\n"
+        head += "a:\r\n" * ((MAX_HEADER_BYTES - len(head)) // 4 - 1) + "\r\n"
+        sock.sendall(head.encode())
+        assert receive_all(sock).startswith(b"HTTP/1.1 200")
+
+
+def test_a_head_of_more_fields_than_fit_the_limit_of_a_head_is_rejected():
+    with running_site(endpoints=1) as site, connect(site) as sock:
+        sock.sendall((START + "a:\r\n" * (MAX_HEADER_BYTES // 4 + 1)).encode())
+        assert receive_all(sock).startswith(b"HTTP/1.1 431")
