Answer 500, not 400, to a fault of this program while a head is read

What callers would see: any exception that was no error of the connection, raised while a head was read, got 400, which tells a caller that its request is wrong and must not be repeated.

ValueError, which the library raises for malformed heads, and IndexError, which it raises for a version without a minor number, still give 400. Everything else gives 500, a line "event=failed" with the stack, and counts in heads_rejected_total{reason="failure"}. A head that failed with AttributeError got 400 before (test).

--- a/quetzalwall/connection/http_server.py
+++ b/quetzalwall/connection/http_server.py
@@ -12,16 +12,18 @@
 from quetzalwall.connection.body_input import BoundedBody
 from quetzalwall.connection.compression import compress
 from quetzalwall.connection.digits import is_decimal
+from quetzalwall.connection.head_rejections import (
+    HeadRejected,
+    rejection_bytes,
+    rejection_status,
+)
 from quetzalwall.connection.header_fields import read_fields
 from quetzalwall.connection.idle_connections import IdleConnections
 from quetzalwall.connection.memory_budget import MemoryBudget
 from quetzalwall.connection.nodelay import NoDelayServer
-from quetzalwall.connection.request_heads import (
-    HeadRejected,
-    RequestHeads,
-    rejection_bytes,
-)
+from quetzalwall.connection.request_heads import RequestHeads
 from quetzalwall.connection.yielding_socket import YIELD_SLEEP_S
+from quetzalwall.logs import describe_failure, get_logger, log_event
 
 __all__ = [
     "BadRequest",
@@ -58,6 +60,7 @@
 STALL_TIMEOUT_S = 60.0  # for a caller that neither sends nor reads
 MAX_COALESCED_BYTES = 8 * 1024  # larger bodies are sent apart from the head
 YIELD_AFTER_REQUESTS = 32  # on one connection
+LOG = get_logger("front")
 
 
 class HttpLimits(NamedTuple):
@@ -142,11 +145,11 @@
     def _handle_client_error(self, ex):
         if isinstance(ex, OSError):
             return None
-        status = ex.status if isinstance(ex, HeadRejected) else 400
+        status = rejection_status(ex)
+        if status == 500:
+            log_event(LOG, "failed", "error", **describe_failure(ex))
         self.server.heads.record_rejected(status, self.client_address, ex)
-        if status != 400:
-            return str(status), rejection_bytes(status)
-        return super()._handle_client_error(ex)
+        return str(status), rejection_bytes(status)
 
     def log_request(self):
         """Log nothing: the application logs its decision for each request."""
--- a/quetzalwall/connection/pipelined_handler.py
+++ b/quetzalwall/connection/pipelined_handler.py
@@ -16,13 +16,13 @@
 
 from quetzalwall.connection.caller_connection import CallerLeft, is_closed
 from quetzalwall.connection.exchange import create_exchange
+from quetzalwall.connection.head_rejections import rejection_bytes, rejection_status
 from quetzalwall.connection.http_server import (
     STALL_TIMEOUT_S,
     QuietHandler,
 )
 from quetzalwall.connection.memory_budget import MemoryBudget
 from quetzalwall.connection.pipeline import Admission, create_pipeline
-from quetzalwall.connection.request_heads import HeadRejected, rejection_bytes
 from quetzalwall.connection.slow_readers import Deliveries
 
 __all__ = ["PipelinedHandler", "Pipelining"]
@@ -114,7 +114,7 @@
             if len(line) >= self.server.heads.max_bytes:
                 cause = f"request line of {len(line)} bytes"
                 self.server.heads.record_rejected(414, self.client_address, cause)
-                self._reject_malformed(414)
+                self._reject_head(414)
                 return None
             self.read_request(line)
             return create_exchange(self)
@@ -122,8 +122,7 @@
             raise
         except Exception as exc:
             self._handle_client_error(exc)
-            status = exc.status if isinstance(exc, HeadRejected) else 400
-            self._reject_malformed(status)
+            self._reject_head(rejection_status(exc))
             return None
 
     def read_requestline(self):
@@ -156,8 +155,8 @@
             self._await_change(lambda: not self._running)
         self._cancel_running(CallerLeft)
 
-    def _reject_malformed(self, status):
-        """Respond to malformed input behind the earlier requests, and read no more."""
+    def _reject_head(self, status):
+        """Reject a head behind the earlier requests, and read no more."""
         self._input_ended = self.head is not None and self.head.expired is not None
         self.close_head()
         self._await_change(lambda: not self._running)
--- a/quetzalwall/connection/request_heads.py
+++ b/quetzalwall/connection/request_heads.py
@@ -8,9 +8,10 @@
 import gevent
 import gevent.socket
 
+from quetzalwall.connection.head_rejections import REASONS, HeadRejected
 from quetzalwall.connection.yielding_socket import YIELD_SLEEP_S
 
-__all__ = ["HeadRejected", "RequestHeads", "rejection_bytes"]
+__all__ = ["RequestHeads"]
 
 MAX_REQUEST_HEAD_BYTES = 32 * 1024  # twice the platform's default for callers
 MAX_HEAD_RATIO = 2  # of the configured maximum, if that is more
@@ -27,53 +28,6 @@
 MEMORY_FRACTION = 0.5  # of the budget, so that bodies have room beside heads
 EVICTION_ROUNDS = 20  # in which evicted heads give their memory back
 MIN_EVICTED_FRACTION = 1 / 3  # of the time-out; younger heads aren't closed for others
-REASONS = {
-    400: "malformed",
-    408: "timeout",
-    414: "request line",
-    431: "length",
-    501: "coding",
-    503: "memory",
-}
-STATUS_TEXT = {
-    400: "400 Bad Request",
-    408: "408 Request Timeout",
-    414: "414 Request URI Too Long",
-    431: "431 Request Header Fields Too Large",
-    501: "501 Not Implemented",
-    503: "503 Service Unavailable",
-}
-
-
-class HeadRejected(ValueError):
-    """A head was rejected before it was complete, so that nothing was run.
-
-    Parameters
-    ----------
-    status : int
-        HTTP status: 408, 431, 501 or 503.
-    """
-
-    def __init__(self, status):
-        super().__init__(STATUS_TEXT[status])
-        self.status = status
-
-
-def rejection_bytes(status):
-    """Return the response that rejects a head and closes the connection.
-
-    Parameters
-    ----------
-    status : int
-        HTTP status: a key of `STATUS_TEXT`.
-
-    Returns
-    -------
-    bytes
-    """
-    retry = "Retry-After: 1\r\n" if status == 503 else ""
-    head = f"HTTP/1.1 {STATUS_TEXT[status]}\r\nConnection: close\r\n{retry}"
-    return f"{head}Content-length: 0\r\n\r\n".encode()
 
 
 class RequestHeads:
--- a/quetzalwall/connection/tests/test_request_heads.py
+++ b/quetzalwall/connection/tests/test_request_heads.py
@@ -3,8 +3,9 @@
 
 import gevent.socket
 
+from quetzalwall.connection.head_rejections import HeadRejected
 from quetzalwall.connection.memory_budget import MemoryBudget
-from quetzalwall.connection.request_heads import HeadRejected, RequestHeads
+from quetzalwall.connection.request_heads import RequestHeads
 from quetzalwall.tests.platform_fixtures import ManualClock
 
 CAPACITY = 200_000
--- a/quetzalwall/process/tests/test_request_heads.py
+++ b/quetzalwall/process/tests/test_request_heads.py
@@ -6,6 +6,7 @@
 from gevent import socket as gsocket
 from nose2.tools import params
 
+from quetzalwall.connection import pipelined_handler
 from quetzalwall.tests.platform_fixtures import HOST, running_site, wait_for
 
 START = f"GET /look/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Quetzalwall-Request-Id: a\r\n"
@@ -165,3 +166,25 @@
     with running_site(endpoints=1) as site, connect(site) as sock:
         sock.sendall((START + "a:\r\n" * (MAX_HEADER_BYTES // 4 + 1)).encode())
         assert receive_all(sock).startswith(b"HTTP/1.1 431")
+
+
+# DENIED: any exception while a head was read gave 400, also a fault of this program.
+def test_a_failure_of_the_instance_is_not_blamed_on_the_caller():
+    def fail(_):
+        raise AttributeError("a fault of the program")
+
+    create, pipelined_handler.create_exchange = pipelined_handler.create_exchange, fail
+    try:
+        with running_site(endpoints=1) as site, connect(site) as sock:
+            sock.sendall((START + "\r\n").encode())
+            assert receive_all(sock).startswith(b"HTTP/1.1 500")
+            assert site.fronts[0].heads.rejected["failure"] == 1
+    finally:
+        pipelined_handler.create_exchange = create
+
+
+@params("GET / HTTP/1\r\n\r\n", "GET\r\n\r\n", "GET / HTTP/a.b\r\n\r\n")
+def test_a_malformed_head_is_blamed_on_the_caller(head):
+    with running_site(endpoints=1) as site, connect(site) as sock:
+        sock.sendall(head.encode())
+        assert receive_all(sock).startswith(b"HTTP/1.1 400")
