Reject what the last configuration allowed as not run until it is gone

What callers saw: right after a change, the first instances that had it answered 404 for a removed route, or 413 for a body over a lowered limit, while the other instances were still allowed to serve the same request.

Cause: only a later configuration was taken into account, not the one before, which may be active elsewhere for the time in which changes take effect ("config").

The routes and the limit that a change takes away are kept for that time, and such a request gets 503, "stale configuration", not run. A key that was taken away still gets 401 at once: it must open nothing, and a caller is not to repeat it.

--- a/quetzalwall/process/cluster/cluster_state.py
+++ b/quetzalwall/process/cluster/cluster_state.py
@@ -19,6 +19,9 @@
 from quetzalwall.process.cluster.evacuations import EVACUATION_HOLD_S, Evacuations
 from quetzalwall.process.cluster.exported_rows import read_exported
 from quetzalwall.process.cluster.registry_entries import RegistryEntries
+from quetzalwall.process.cluster.replaced_configurations import (
+    create_replaced_configurations,
+)
 from quetzalwall.process.cluster.restored_entries import keep_known_starts
 from quetzalwall.process.storage.settings_tree import read_tree
 from quetzalwall.process.storage.store_table import SETTINGS_TABLE
@@ -56,6 +59,8 @@
     ----------
     on_configuration : callable or None
         Called with each configuration that becomes active.
+    replaced : ReplacedConfigurations
+        Configurations that may still be active at other instances.
     tree : SettingsTree or None
         The active settings tree; None without one.
     """
@@ -66,6 +71,8 @@
         self.tables = tables
         self.on_configuration = None
         self.tree = None
+        freshness = fleet.table_updates.freshness
+        self.replaced = create_replaced_configurations(freshness)
         self._cfg = None
         self._rows = {table: {} for table in tables}
         self._removed = {table: {} for table in tables}
@@ -290,6 +297,8 @@
             if cfg.version < known:
                 log_event(LOG, "older", "warning", version=cfg.version, known=known)
             return False
+        if self._cfg is not None:
+            self.replaced.add(self._cfg, cfg)
         self._cfg = cfg
         self.fleet.configuration_version = cfg.version
         log_event(
--- a/quetzalwall/process/cluster/freshness.py
+++ b/quetzalwall/process/cluster/freshness.py
@@ -43,12 +43,15 @@
         Whether requests with a key are rejected while the table is stale.
     followed : bool
         Whether this process follows the operators' table at all.
+    config_s : float
+        Seconds in which a change of the configuration has to be active everywhere.
     now : callable
         The clock.
     """
 
     def __init__(self, monotonic):
         self.fail_closed = self.followed = False
+        self.config_s = 0.0
         self.now = monotonic
         self._max_age_s = self._max_current_age_s = math.inf
         self._as_of = -math.inf
@@ -69,6 +72,7 @@
             The operators' bounds.
         """
         self.fail_closed = bounds.fail_closed
+        self.config_s = bounds.config_s
         self._max_current_age_s = max(0.0, bounds.config_s - CONFIG_MARGIN_S)
         self._max_age_s = math.inf
         if bounds.fail_closed:
--- a/quetzalwall/process/tests/test_stale_configuration.py
+++ b/quetzalwall/process/tests/test_stale_configuration.py
@@ -281,6 +281,27 @@
         assert site.get("/new/2")[0] == 200
 
 
+# DENIED: an instance that had a change before the others answered 404 and 413 for what
+# they still allowed.
+def test_what_the_configuration_before_may_allow_elsewhere_is_not_rejected_as_wrong():
+    def statuses():
+        return site.get("/book/1")[0], site.get("/look/1", 0, "POST", b"x" * 2000)[0]
+
+    with running_site() as site:
+        body = config_body(2, [route_row("look", "/look/")])
+        body["limits"] |= {"maxBodyBytes": 1000}
+        assert statuses() == (200, 200)
+        site.write_config(body)
+        wait_for(lambda: statuses() != (200, 200))
+        since, found = time.monotonic(), []
+        while time.monotonic() - since < CONFIG_S - 0.2:
+            found.append(statuses())
+            gevent.sleep(0.05)
+        assert set(found) == {(503, 503)}
+        assert site.get("/none/1")[0] == 404
+        wait_for(lambda: statuses() == (404, 413))
+
+
 # DENIED: responses of the instance itself with a status from 400 on could not be told
 # apart by their cause.
 def test_own_responses_that_say_that_a_request_is_wrong_are_counted_by_reason():
--- a/quetzalwall/request/request_reader.py
+++ b/quetzalwall/request/request_reader.py
@@ -70,6 +70,7 @@
         self._dialect = dialect
         self._cluster_state = cluster_state
         self._freshness = cluster_state.fleet.table_updates.freshness
+        self._replaced = cluster_state.replaced
         self._split = split
 
     def is_idempotent(self, environ):
@@ -135,8 +136,8 @@
         if cfg is None:
             raise Refused(metadata, "", NO_CONFIG)
         if route is None:
-            self._check_current(cfg, metadata, "")
             path = target.partition("?")[0]
+            self._check_current(cfg, metadata, "", self._replaced.had_route(host, path))
             log_no_route(metadata, host, path, cfg.version)
             raise BadRequest(404, f"no route for {host}{path[:80]}", "no route")
         account = self._find_account(cfg, route, metadata)
@@ -151,7 +152,8 @@
         except NoMemory:
             raise Refused(metadata, route.name, NO_ROOM_IN_MEMORY) from None
         except BadRequest:
-            self._check_current(cfg, metadata, route.name)
+            allowed = self._replaced.max_body_bytes() > cfg.limits.max_body_bytes
+            self._check_current(cfg, metadata, route.name, allowed)
             raise
         limit_s = min_of_known(metadata.timeout_s, route.timeout_s)
         return Request(
@@ -171,13 +173,14 @@
             bytes_ahead=exchange.bytes_ahead,
         )
 
-    def _check_current(self, cfg, metadata, route):
+    def _check_current(self, cfg, metadata, route, was_allowed=False):
         """Raise if a configuration may allow what the one of the request does not.
 
-        A later one may be active here since the request was read, or elsewhere.
+        A later one may be active here since the request was read, or elsewhere; the one
+        before may still be active elsewhere.
         """
         latest = self._cluster_state.configuration()
-        if cfg is not latest or not self._freshness.is_current():
+        if was_allowed or cfg is not latest or not self._freshness.is_current():
             raise Refused(metadata, route, STALE_CONFIGURATION)
 
     def _find_account(self, cfg, route, metadata):
