Let the soak check that no proper request is rejected as wrong

The soak changes configurations, restores older ones, kills, pauses and restarts instances beside its callers, so that it now reports each such response to a request whose route all its configurations have.

The check itself is tested with four statuses.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -99,6 +99,7 @@
         *_check_at_most_once(attempts, runs),
         *_check_not_run(attempts, runs),
         *_check_responses(attempts),
+        *_check_no_rejection_as_wrong(attempts),
         *_check_planned_stops(attempts, runs),
         *_check_no_revert(attempts),
         *_check_active_version(attempts, timeline),
@@ -150,6 +151,14 @@
             yield Breach("own complete response", f"{attempt}")
 
 
+def _check_no_rejection_as_wrong(attempts):
+    # All configurations of a run have the routes of "look" and "book".
+    for attempt in attempts:
+        wrong = 300 <= attempt.status < 500 and attempt.status not in NOT_RUN_STATUSES
+        if wrong and attempt.kind in ("look", "book"):
+            yield Breach("proper requests", f"{attempt} was rejected as wrong")
+
+
 def _check_planned_stops(attempts, runs):
     for attempt in attempts:
         # A request that was sent while the instance closed the idle connection, or
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -59,6 +59,14 @@
     return {b.promise for b in find_breaches(attempts, endpoints, timeline)}
 
 
+@params(
+    (404, "look", True), (413, "book", True), (429, "book", False), (404, "v3", False)
+)
+def test_a_proper_request_must_not_be_rejected_as_wrong(status, kind, expected):
+    found = _breached([_attempt(status, kind)])
+    assert ("proper requests" in found) == expected
+
+
 # A check that never finds anything would hide that an endpoint's request is ignored.
 def test_requests_within_the_time_that_an_endpoint_asks_for_are_found():
     endpoint, attempt = _Endpoint(), _attempt(503, "look")
