Derive from the bound how long a table is relied on

Cause: an instance that does not follow the store relied on its table for 1.6 s and two report periods, and the period grows with the fleet: 3.97 s at 216 instances in three regions, 2.93 s at 121.

--- a/quetzalwall/process/cluster/fleet.py
+++ b/quetzalwall/process/cluster/fleet.py
@@ -5,7 +5,9 @@
 """
 
 from quetzalwall.logs import get_logger, log_event
+from quetzalwall.platform.bounds import Bounds
 from quetzalwall.process.cluster.claim_codes import ClaimCodes
+from quetzalwall.process.cluster.confirmation_relay import ConfirmationRelay
 from quetzalwall.process.cluster.endpoint_code import endpoint_code
 from quetzalwall.process.cluster.endpoint_stats import EndpointStats
 from quetzalwall.process.cluster.members import Members, is_member
@@ -48,6 +50,8 @@
     ----------
     own_info : PeerInfo
         This instance.
+    bounds : Bounds
+        The operators' bounds.
     leaving : bool
         Whether this instance is about to stop.
     reaches_store : bool
@@ -66,10 +70,13 @@
         Exchanges the figures of client accounts.
     table_updates : TableUpdates
         What other instances report of the tables.
+    confirmations : ConfirmationRelay
+        Passes on what the store confirmed.
     """
 
     def __init__(self, info, port, endpoints, monotonic, process_id):
         self.own_info = info
+        self.bounds = Bounds()
         self.leaving = False
         self.reaches_store = True
         self.table_versions = {}
@@ -78,6 +85,7 @@
         self.claim_codes = ClaimCodes()
         self.traffic = self.allotments = None
         self.table_updates = TableUpdates(monotonic)
+        self.confirmations = ConfirmationRelay(self, process_id)
         self._port = port
         self._endpoint_stats = EndpointStats(endpoints)
         self._monotonic = monotonic
@@ -101,6 +109,7 @@
             self._report_groups.read_delay_s,
             self.traffic,
             self.table_updates.freshness,
+            self._on_confirmation,
         )
         self._task = repeat(self._report, MIN_REPORT_PERIOD_S)
 
@@ -318,16 +327,6 @@
         self._report_groups.of_region(info.region).peers += change
         self._timeouts.reset()
 
-    def report_period_s(self):
-        """Return the report period of the peers that report most often.
-
-        Returns
-        -------
-        float
-            Seconds; 0 if there are no peers.
-        """
-        return self._report_groups.period_s()
-
     def report_age_s(self, region):
         """Return the mean age of what the instances of a region have reported.
 
@@ -346,11 +345,17 @@
     def _on_report(self, report):
         self.receive(report, self._monotonic())
 
+    def _on_confirmation(self, confirmation):
+        now = self._monotonic()
+        self.confirmations.receive(confirmation, now)
+        self._socket.send_confirmations(self.confirmations.due(now), now)
+
     def _report(self):
         now = self._monotonic()
         self.check_timeouts(now)
         for report, recipients in self.due_reports(now):
             self._socket.send(report, recipients, now)
+        self._socket.send_confirmations(self.confirmations.due(now), now)
 
     def _build_report(self, group, now):
         self._sequence += 1
--- a/quetzalwall/process/cluster/freshness.py
+++ b/quetzalwall/process/cluster/freshness.py
@@ -78,6 +78,11 @@
         if bounds.fail_closed:
             self._max_age_s = bounds.revoke_s - MARGIN_S
 
+    @property
+    def max_age_s(self):
+        """Age from which on requests with a key are rejected; infinity if never."""
+        return self._max_age_s
+
     def is_stale(self):
         """Return whether requests with a key have to be rejected.
 
@@ -156,6 +161,21 @@
         self._own_as_of = max(self._own_as_of, waited_until)
         self._as_of = max(self._as_of, waited_until)
 
+    def own_proved_at(self, now):
+        """Return the as-of moment that the store itself proved to this instance.
+
+        Parameters
+        ----------
+        now : float
+            Seconds of the clock.
+
+        Returns
+        -------
+        float or None
+            None if nothing has been proved lately.
+        """
+        return None if now - self._own_as_of > MAX_TOLD_AGE_S else self._own_as_of
+
     def own_proof(self, now):
         """Return what the store itself proved to this instance, for a report.
 
@@ -170,10 +190,10 @@
             The present moment and the age of the as-of moment, in milliseconds; None if
             nothing has been proved lately.
         """
-        age_s = now - self._own_as_of
-        if age_s > MAX_TOLD_AGE_S:
+        proved_at = self.own_proved_at(now)
+        if proved_at is None:
             return None
-        return math.floor(now * 1000), math.ceil(age_s * 1000)
+        return math.floor(now * 1000), math.ceil((now - proved_at) * 1000)
 
     def may_tell_age(self, built_at):
         """Return whether the ages in a report still hold when it is sent.
@@ -202,10 +222,6 @@
     def receive(self, process_id, proof, version, now):
         """Record what the store proved to a peer.
 
-        The report may have waited in the socket since it was last empty, and in the
-        network for as long as it took longer than others. After a stall it proves
-        nothing, until the socket has been drained.
-
         Parameters
         ----------
         process_id : int
@@ -217,11 +233,22 @@
         now : float
             Moment at which the report was read.
         """
-        if proof is None or now - self._drained_at > MAX_DRAIN_GAP_S:
+        if proof is None:
             return
-        built_at, age_s = proof[0] / 1000, max(0, proof[1]) / 1000
-        built_at += self._least_delay_s(process_id, now - built_at, now)
-        at = min(self._drained_at, built_at) - age_s
+        sent_at = self.sent_at(process_id, proof[0] / 1000, now)
+        if sent_at is not None:
+            self.record_proved(sent_at - max(0, proof[1]) / 1000, version)
+
+    def record_proved(self, at, version):
+        """Record an as-of moment that the store proved to another instance.
+
+        Parameters
+        ----------
+        at : float
+            The moment.
+        version : int
+            Version of the last change of the table at that instance.
+        """
         if at <= self._as_of:
             return
         if self._applied is None or version > self._applied:
@@ -230,6 +257,50 @@
             # A restored store may lack what it had proved to have before.
             self._as_of = at
 
+    def arrived_after(self, now):
+        """Return the earliest moment at which a datagram just read may have arrived.
+
+        Parameters
+        ----------
+        now : float
+            Moment at which it was read.
+
+        Returns
+        -------
+        float or None
+            None after a stall of this process, until the socket has been drained.
+        """
+        if now - self._drained_at > MAX_DRAIN_GAP_S:
+            return None
+        return min(now, self._drained_at)
+
+    def sent_at(self, process_id, built_at, now):
+        """Return the earliest moment at which a datagram just read may have been sent.
+
+        It may have waited in the socket since that was last empty, and in the network
+        for as long as it took longer than others of the same process.
+
+        Parameters
+        ----------
+        process_id : int
+            The process that sent it.
+        built_at : float
+            Moment at which it was built, in seconds of the sender's clock.
+        now : float
+            Moment at which it was read.
+
+        Returns
+        -------
+        float or None
+            Seconds of the own clock; None as of `arrived_after`.
+        """
+        arrived_at = self.arrived_after(now)
+        if arrived_at is None:
+            return None
+        return min(
+            arrived_at, built_at + self._least_delay_s(process_id, now - built_at, now)
+        )
+
     def _least_delay_s(self, process_id, delay_s, now):
         """Return the least delay of a process's reports.
 
--- a/quetzalwall/process/cluster/peer_report.py
+++ b/quetzalwall/process/cluster/peer_report.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from quetzalwall.process.cluster.endpoint_code import endpoint_code
+
 __all__ = [
     "Peer",
     "PeerInfo",
@@ -125,6 +127,8 @@
 
     Attributes
     ----------
+    code : int
+        Short code of its name.
     last_seen : float
         Monotonic seconds of its last report; -inf before the first one.
     added_at : float
@@ -141,6 +145,7 @@
 
     def __init__(self, info):
         self.info = info
+        self.code = endpoint_code(info.name)
         self.process_id = None
         self.former_process_id = None
         self.sequence = -1
@@ -168,6 +173,19 @@
         self.table_versions = report.table_versions
         self.configuration_version = report.configuration_version
 
+    def record_versions(self, versions):
+        """Keep later versions of tables that the instance stated between its reports.
+
+        Parameters
+        ----------
+        versions : dict of str to int
+            Version of the last change that the instance knows of each table.
+        """
+        known = self.table_versions
+        later = {t: v for t, v in versions.items() if v > known.get(t, 0)}
+        if later:
+            self.table_versions = known | later
+
 
 def encode_report(report):
     """Return a report as a datagram.
--- a/quetzalwall/process/cluster/peer_socket.py
+++ b/quetzalwall/process/cluster/peer_socket.py
@@ -6,6 +6,11 @@
 import msgspec
 
 from quetzalwall.logs import get_logger, log_event
+from quetzalwall.process.cluster.confirmation import (
+    decode_confirmation,
+    encode_confirmation,
+    is_confirmation,
+)
 from quetzalwall.process.cluster.peer_report import decode_report, encode_report
 from quetzalwall.process.tasks import repeat
 
@@ -19,7 +24,7 @@
 
 
 class PeerSocket:
-    """UDP socket that sends and receives reports.
+    """UDP socket that sends and receives reports and confirmations.
 
     Parameters
     ----------
@@ -36,12 +41,24 @@
         Counts the bytes sent; None counts none.
     freshness : Freshness
         Learns when the socket was empty, and whether a report has been delayed.
+    on_confirmation : callable, default=None
+        Called with each confirmation; None ignores them.
     """
 
-    def __init__(self, host, port, on_report, read_delay_s, traffic, freshness):
+    def __init__(
+        self,
+        host,
+        port,
+        on_report,
+        read_delay_s,
+        traffic,
+        freshness,
+        on_confirmation=None,
+    ):
         self._port = port
         self._traffic = traffic
         self._on_report = on_report
+        self._on_confirmation = on_confirmation
         self._freshness = freshness
         sock = gevent.socket.socket(gevent.socket.AF_INET, gevent.socket.SOCK_DGRAM)
         try:
@@ -76,13 +93,31 @@
             if proves and not self._freshness.may_tell_age(built_at):
                 report = report._replace(operators_proof=None)
                 raw = encode_report(report)
-            try:
-                self._sock.sendto(raw, (info.host, self._port))
-            except OSError as exc:
-                log_event(LOG, "not-sent", "warning", peer=info.host, reason=str(exc))
-                continue
-            if self._traffic is not None:
-                self._traffic.record("report", len(raw), info.region, info.domain)
+            self._send(raw, info, "report")
+
+    def send_confirmations(self, due, built_at):
+        """Send confirmations, unless this process was stopped since they were built.
+
+        Parameters
+        ----------
+        due : list of (Confirmation, PeerInfo)
+            Each with its recipient.
+        built_at : float
+            Moment at which they were built.
+        """
+        for confirmation, info in due:
+            if not self._freshness.may_tell_age(built_at):
+                return
+            self._send(encode_confirmation(confirmation), info, "confirmation")
+
+    def _send(self, raw, info, kind):
+        try:
+            self._sock.sendto(raw, (info.host, self._port))
+        except OSError as exc:
+            log_event(LOG, "not-sent", "warning", peer=info.host, reason=str(exc))
+            return
+        if self._traffic is not None:
+            self._traffic.record(kind, len(raw), info.region, info.domain)
 
     def _receive(self):
         with suppress(TimeoutError):
@@ -95,8 +130,12 @@
                 self._freshness.record_drained(before)
                 return
             try:
-                report = decode_report(raw)
+                if is_confirmation(raw):
+                    read, message = self._on_confirmation, decode_confirmation(raw)
+                else:
+                    read, message = self._on_report, decode_report(raw)
             except msgspec.DecodeError as exc:
                 log_event(LOG, "bad-datagram", "warning", reason=str(exc))
                 continue
-            self._on_report(report)
+            if read is not None:
+                read(message)
--- a/quetzalwall/process/cluster/store_readers.py
+++ b/quetzalwall/process/cluster/store_readers.py
@@ -3,9 +3,9 @@
 __all__ = [
     "follows_store",
     "has_heard_peers",
-    "is_first_reader",
     "known_version",
     "peers_ahead",
+    "store_rank",
 ]
 
 READERS_PER_REGION = 2  # instances that follow the store on behalf of their region
@@ -57,8 +57,8 @@
     return any(not peer.unresponsive for peer in fleet.peers())
 
 
-def is_first_reader(fleet):
-    """Return whether no other instance that reaches the store precedes this one.
+def store_rank(fleet):
+    """Return how many other instances that reach the store precede this one.
 
     Parameters
     ----------
@@ -67,9 +67,10 @@
 
     Returns
     -------
-    bool
+    int
+        0 for the first one, on which all others rely.
     """
-    return not any(
+    return sum(
         peer.reaches_store and not (peer.unresponsive or peer.leaving)
         for peer in fleet.preceding_peers()
     )
--- a/quetzalwall/process/cluster/store_watch.py
+++ b/quetzalwall/process/cluster/store_watch.py
@@ -15,18 +15,26 @@
 from quetzalwall.platform.store import HistoryGone
 from quetzalwall.process.cluster.freshness import MAX_LATE_RESPONSE_S
 from quetzalwall.process.cluster.store_readers import (
+    ALL_READ_BELOW,
     follows_store,
     has_heard_peers,
-    is_first_reader,
     known_version,
     peers_ahead,
+    store_rank,
+)
+from quetzalwall.process.cluster.table_trust import (
+    ask_after_s,
+    ask_delay_s,
+    bound_s,
+    confirming_poll_s,
 )
 from quetzalwall.process.tasks import repeat
 
 __all__ = ["TableWatch", "create_table_watch"]
 
 LONG_POLL_S = 2.0  # a dead connection is noticed within this and the call's time-out
-FIRST_READER_LONG_POLL_S = 1.0  # for the reader whose confirmations all others rely on
+FIRST_READER_LONG_POLL_S = 1.0  # for a reader whose confirmations all others rely on
+CONFIRMING_READERS = 2  # instances whose confirmations all others rely on
 PEER_CHECK_INTERVAL_S = 0.1
 CALL_PAUSE_S = 0.25  # between calls, so that one call returns several changes
 # The same in a large fleet until a peer was heard: endpoints register all the time, so
@@ -36,10 +44,9 @@
 RETRY_DELAY_MAX_S = 0.5
 RETRY_DELAY_PER_PEER_S = 0.01  # raises the maximum where other instances read the store
 ASK_PEER_AFTER_S = 0.4  # until then the own call to the store may bring the change
-ASK_STORE_AFTER_S = 0.8  # until then the peers that report a change may provide it
+ASK_STORE_AFTER_S = 0.8  # until then the peers that have a change may provide it
 HANDOVER_S = 1.5  # a former reader goes on for so long, until its successor has read
 OUTAGE_AFTER_S = 3.0  # unconfirmed for longer, entries may have expired in the store
-CONFIRMATION_SLACK_S = 0.35  # for calls and reports under way
 LATE_LOG_AFTER_S = 1.0  # for which peers have a newer table before it is logged
 LOG = get_logger("store")
 
@@ -194,23 +201,25 @@
 
     def _needs_store(self):
         """Return whether the other instances don't keep this one up to date."""
-        if self._behind_s() > ASK_STORE_AFTER_S:
-            log_event(LOG, "behind", "warning", table=self._table)
+        fleet, behind_s = self._fleet, self._behind_s()
+        if behind_s > ASK_STORE_AFTER_S + ask_delay_s(fleet):
+            self._log_asked("behind", behind_s)
             return True
         age_s = self._monotonic() - self.confirmed_at
-        if self._rejects_when_stale():
-            age_s = max(age_s, self._freshness.age_s())
-        max_age_s = (
-            FIRST_READER_LONG_POLL_S
-            + CALL_PAUSE_S
-            + CONFIRMATION_SLACK_S
-            + 2 * self._fleet.report_period_s()
-        )
-        if age_s > max_age_s:
-            log_event(LOG, "unconfirmed", "warning", table=self._table, age_s=age_s)
+        if age_s > ask_after_s(fleet, bound_s(fleet.bounds, self._table)):
+            self._log_asked("unconfirmed", age_s)
             return True
+        if self._rejects_when_stale():
+            age_s = self._freshness.age_s()
+            if age_s > ask_after_s(fleet, self._freshness.max_age_s):
+                self._log_asked("unproved", age_s)
+                return True
         return False
 
+    def _log_asked(self, event, age_s):
+        rank = store_rank(self._fleet)
+        log_event(LOG, event, "warning", table=self._table, age_s=age_s, rank=rank)
+
     def _rejects_when_stale(self):
         return self._freshness is not None and self._freshness.fail_closed
 
@@ -223,11 +232,22 @@
         if self._rejects_when_stale() and self._is_slow:
             # A late response proves its call only; two with a wait reach `revoke`.
             return 0
+        if self._confirms_for_others():
+            bound = bound_s(self._fleet.bounds, self._table)
+            poll_s = confirming_poll_s(self._fleet, bound, CALL_PAUSE_S)
+            return min(FIRST_READER_LONG_POLL_S, poll_s)
         # Twice a long poll of 2 s and the time between them would reach `revoke`.
-        if self._rejects_when_stale() or is_first_reader(self._fleet):
+        if self._rejects_when_stale() or store_rank(self._fleet) == 0:
             return FIRST_READER_LONG_POLL_S
         return LONG_POLL_S
 
+    def _confirms_for_others(self):
+        """Return whether instances that don't follow the store rely on this one."""
+        fleet = self._fleet
+        if fleet.peer_count() < ALL_READ_BELOW:
+            return False
+        return store_rank(fleet) < CONFIRMING_READERS or not follows_store(fleet)
+
     def _call(self, wait_s):
         complete, after = self._read_all, self._version
         sent = self._called_at = self._monotonic()
@@ -243,11 +263,18 @@
         applied = self._apply(rows, complete, after_outage, after)
         self._read_all = False
         if applied:
-            self.confirmed_at = self._monotonic()
-            version = self._fleet.table_versions.get(self._table, 0)
-            self._fleet.table_updates.confirm(self._table, version, self.confirmed_at)
-            if self._freshness is not None:
-                self._freshness.confirm(sent, 0 if complete or rows.rows else wait_s)
+            self._confirm(sent, 0 if complete or rows.rows else wait_s)
+
+    def _confirm(self, sent, wait_s):
+        """Record what a call proved, with its wait as of `Freshness.confirm`."""
+        fleet, as_of = self._fleet, self._monotonic()
+        self.confirmed_at = as_of
+        version = fleet.table_versions.get(self._table, 0)
+        fleet.table_updates.confirm(self._table, version, as_of)
+        if self._freshness is not None:
+            self._freshness.confirm(sent, wait_s)
+        if self._confirms_for_others():
+            fleet.confirmations.spread_own()
 
     def _apply(self, rows, complete, after_outage, after):
         """Apply the changes after a version; return whether they were applied.
--- a/quetzalwall/process/cluster/table_updates.py
+++ b/quetzalwall/process/cluster/table_updates.py
@@ -24,12 +24,15 @@
     ----------
     freshness : Freshness
         Decides from stricter proofs whether keys of accounts may be used.
+    own_confirmations : dict of str to (int, float)
+        Version of each table that the store confirmed to this instance, and the
+        monotonic seconds as of which it did.
     """
 
     def __init__(self, monotonic):
         self.freshness = create_freshness(monotonic)
         self._newest_versions = {}
-        self._own_confirmations = {}
+        self.own_confirmations = {}
         self._confirmations = {}
 
     def newest_version(self, table):
@@ -67,6 +70,23 @@
                 table, now - age_ms / 1000, report.table_versions.get(table, 0)
             )
 
+    def receive_confirmation(self, tables, proved_at):
+        """Record what another instance passed on apart from its reports.
+
+        Parameters
+        ----------
+        tables : dict of str to (int, float)
+            Version of each table, and monotonic seconds as of which it was confirmed.
+        proved_at : float or None
+            The as-of moment of the operators' table; None if it is not known.
+        """
+        for table, (version, at) in tables.items():
+            if version > self._newest_versions.get(table, 0):
+                self._newest_versions[table] = version
+            self._record_confirmation(table, at, version)
+        if proved_at is not None and OPERATOR_TABLE in tables:
+            self.freshness.record_proved(proved_at, tables[OPERATOR_TABLE][0])
+
     def confirm(self, table, version, at):
         """Record a response of the store to this instance.
 
@@ -77,9 +97,9 @@
         version : int
             Version of its last change.
         at : float
-            Monotonic seconds at which the response arrived.
+            Monotonic seconds as of which the response proves it.
         """
-        self._own_confirmations[table] = at
+        self.own_confirmations[table] = version, at
         self._record_confirmation(table, at, version)
 
     def confirmation_ages_ms(self, now):
@@ -97,7 +117,7 @@
         """
         return {
             table: int((now - at) * 1000)
-            for table, at in self._own_confirmations.items()
+            for table, (_, at) in self.own_confirmations.items()
         }
 
     def known_as_of(self, table, version):
--- a/quetzalwall/process/cluster/tests/test_store_watch.py
+++ b/quetzalwall/process/cluster/tests/test_store_watch.py
@@ -35,6 +35,14 @@
     return fleet
 
 
+def confirm_for(fleet, version, seconds):
+    """Let the readers of a fleet confirm a version of the table for some seconds."""
+    deadline = system_clock().monotonic() + seconds
+    while (now := system_clock().monotonic()) < deadline:
+        fleet.table_updates.receive_confirmation({TABLE: (version, now)}, None)
+        gevent.sleep(0.1)
+
+
 def serve(stack, host, port):
     server = create_server(
         host, port, lambda environ, start: json_response(start, 200, EXPORTED)
@@ -128,9 +136,9 @@
         gevent.sleep(0.4)
         history.append(CHANGES)
         wait_for(lambda: CHANGES in applied, 0.8)
-        gevent.sleep(1.6)
+        confirm_for(fleet, 0, 1.6)
         before = len(applied)
-        gevent.sleep(0.5)
+        confirm_for(fleet, 0, 0.5)
         assert len(applied) == before
     finally:
         watch.close()
--- a/quetzalwall/process/front.py
+++ b/quetzalwall/process/front.py
@@ -92,7 +92,7 @@
         cluster = create_cluster(settings, dialect, tables, rng, now)
         self.endpoints, self.fleet, self.cluster_state, self.traffic = cluster
         self._freshness = self.fleet.table_updates.freshness
-        self._freshness.configure(settings.bounds)
+        self._configure_bounds(settings.bounds)
         self.cluster_state.on_configuration = self._apply_configuration
         self._peer_tables = create_peer_tables(
             self.fleet, settings.listen.peers[1], lambda: self.settings.seeds, rng, now
@@ -230,7 +230,7 @@
         self._settings_signature = file_signature(self._settings_file)
         self.limits.retry_budget.configure(settings.bounds, settings.hedging)
         self.limits.cold_start_limiter.configure(settings.bounds)
-        self._freshness.configure(settings.bounds)
+        self._configure_bounds(settings.bounds)
         self.limits.allotments.configure(
             self.cluster_state.configuration(), settings.bounds
         )
@@ -239,6 +239,10 @@
         self.settings = self.settings._replace(**fields)
         log_event(LOG, "reloaded", file=self._settings_file)
 
+    def _configure_bounds(self, bounds):
+        self.fleet.bounds = bounds
+        self._freshness.configure(bounds)
+
     def _create_watch(self, table):
         def on_rows(rows, complete, after_outage):
             # Another instance may have read the restored store before this one.
