Take a response or report that has waited for no newer than it is

Instances that rely on others trusted a copy of a table for longer than the bound allows after a reader had been frozen, slow or cut off: a response that had waited in its socket confirmed the table as of its arrival, and the reader told all others so. Likewise a report that had waited in the socket of the instance that relied on it.

Tests that failed before: test_a_late_response_confirms_the_table_only_as_of_ its_call, test_a_report_read_after_a_stall_confirms_no_table.

--- a/quetzalwall/process/cluster/freshness.py
+++ b/quetzalwall/process/cluster/freshness.py
@@ -10,7 +10,7 @@
 from quetzalwall.logs import get_logger, log_event
 from quetzalwall.platform.store_era import era_of
 
-__all__ = ["Freshness", "create_freshness"]
+__all__ = ["Freshness", "create_freshness", "proved_by_call"]
 
 # From the check of a request to its arrival at the endpoint, and what the age in a
 # report leaves out; docs/design/client-accounts.md gives the sum.
@@ -29,6 +29,29 @@
 LOG = get_logger("store")
 
 
+def proved_by_call(sent, wait_s, now):
+    """Return the moment as of which a response of the store proves a table.
+
+    Parameters
+    ----------
+    sent : float
+        Moment at which the call was sent.
+    wait_s : float
+        Seconds for which the store waited for a change, as the call asked; 0 if it
+        returned rows.
+    now : float
+        Moment at which the response arrived; a late one may have waited somewhere.
+
+    Returns
+    -------
+    float
+    """
+    waited_until = sent + wait_s
+    if waited_until <= now <= waited_until + MAX_LATE_RESPONSE_S:
+        return waited_until
+    return sent
+
+
 class Freshness:
     """The as-of moment of the operators' table, and the bound on its age.
 
@@ -155,11 +178,9 @@
             Seconds for which the store waited for a change, as the call asked; 0 if it
             returned rows.
         """
-        waited_until, now = sent + wait_s, self.now()
-        if not waited_until <= now <= waited_until + MAX_LATE_RESPONSE_S:
-            waited_until = sent
-        self._own_as_of = max(self._own_as_of, waited_until)
-        self._as_of = max(self._as_of, waited_until)
+        proved_at = proved_by_call(sent, wait_s, self.now())
+        self._own_as_of = max(self._own_as_of, proved_at)
+        self._as_of = max(self._as_of, proved_at)
 
     def own_proved_at(self, now):
         """Return the as-of moment that the store itself proved to this instance.
--- a/quetzalwall/process/cluster/store_watch.py
+++ b/quetzalwall/process/cluster/store_watch.py
@@ -13,7 +13,7 @@
 from quetzalwall.logs import get_logger, log_event
 from quetzalwall.platform.rows import OPERATOR_TABLE
 from quetzalwall.platform.store import HistoryGone
-from quetzalwall.process.cluster.freshness import MAX_LATE_RESPONSE_S
+from quetzalwall.process.cluster.freshness import MAX_LATE_RESPONSE_S, proved_by_call
 from quetzalwall.process.cluster.store_readers import (
     ALL_READ_BELOW,
     follows_store,
@@ -85,6 +85,8 @@
         self.loaded = False
         self.last_call_failed = False
         self.confirmed_at = monotonic()
+        # As of which moment the table is proved to be current; at most `confirmed_at`.
+        self._current_as_of = self.confirmed_at
         self._store = store
         self._table = table
         self._on_rows = on_rows
@@ -205,7 +207,7 @@
         if behind_s > ASK_STORE_AFTER_S + ask_delay_s(fleet):
             self._log_asked("behind", behind_s)
             return True
-        age_s = self._monotonic() - self.confirmed_at
+        age_s = self._monotonic() - self._current_as_of
         if age_s > ask_after_s(fleet, bound_s(fleet.bounds, self._table)):
             self._log_asked("unconfirmed", age_s)
             return True
@@ -266,9 +268,11 @@
             self._confirm(sent, 0 if complete or rows.rows else wait_s)
 
     def _confirm(self, sent, wait_s):
-        """Record what a call proved, with its wait as of `Freshness.confirm`."""
-        fleet, as_of = self._fleet, self._monotonic()
-        self.confirmed_at = as_of
+        """Record what a call proved, with its wait as of `proved_by_call`."""
+        fleet, now = self._fleet, self._monotonic()
+        as_of = proved_by_call(sent, wait_s, now)
+        self.confirmed_at = now
+        self._current_as_of = max(self._current_as_of, as_of)
         version = fleet.table_versions.get(self._table, 0)
         fleet.table_updates.confirm(self._table, version, as_of)
         if self._freshness is not None:
@@ -298,6 +302,7 @@
             self._table, self._known_version()
         )
         self.confirmed_at = max(self.confirmed_at, as_of)
+        self._current_as_of = max(self._current_as_of, as_of)
         behind_s = self._behind_s()
         if not self.loaded:
             ask = self.last_call_failed or self._call_s() > ASK_PEER_AFTER_S
--- a/quetzalwall/process/cluster/table_updates.py
+++ b/quetzalwall/process/cluster/table_updates.py
@@ -65,9 +65,12 @@
         version = report.table_versions.get(OPERATOR_TABLE, 0)
         proof = report.operators_proof
         self.freshness.receive(report.process_id, proof, version, now)
+        arrived_at = self.freshness.arrived_after(now)
+        if arrived_at is None:
+            return
         for table, age_ms in report.confirmation_ages_ms.items():
             self._record_confirmation(
-                table, now - age_ms / 1000, report.table_versions.get(table, 0)
+                table, arrived_at - age_ms / 1000, report.table_versions.get(table, 0)
             )
 
     def receive_confirmation(self, tables, proved_at):
--- a/quetzalwall/process/cluster/tests/test_table_trust.py
+++ b/quetzalwall/process/cluster/tests/test_table_trust.py
@@ -100,3 +100,47 @@
     assert max(delays) <= 2.5 - REACTION_S
     assert asking <= min(len(left), 40), asking
     clock.now += STEP_S
+
+
+# A datagram that waited in the socket of a stopped process, or a response that waited
+# there, confirmed the table as of its arrival.
+def test_a_late_response_confirms_the_table_only_as_of_its_call():
+    clock = ManualClock()
+    _, create_view = create_members(12, 1, clock)
+    fleet = create_view(PeerInfo("i-0", "r-0", "d-0", "127.0.0.0"))
+
+    def follow(table, after, wait_s):
+        clock.now += wait_s + 6.0
+        return SimpleNamespace(rows=[], version=1)
+
+    watch = create_table_watch(
+        SimpleNamespace(follow=follow),
+        ENDPOINTS_TABLE,
+        lambda *_: None,
+        None,
+        fleet,
+        clock.monotonic,
+    )
+    watch._read_all = False
+    sent = clock.now
+    watch._call(1.0)
+    assert fleet.table_updates.known_as_of(ENDPOINTS_TABLE, 1) == sent
+
+
+# The age in a report leaves out the time for which it waited in the socket.
+def test_a_report_read_after_a_stall_confirms_no_table():
+    clock = ManualClock()
+    _, create_view = create_members(12, 1, clock)
+    fleet = create_view(PeerInfo("i-0", "r-0", "d-0", "127.0.0.0"))
+    freshness, updates = fleet.table_updates.freshness, fleet.table_updates
+    report = PeerReport(
+        None, 3, 9, False, True, {ENDPOINTS_TABLE: 1}, [], [], [], {ENDPOINTS_TABLE: 0}
+    )
+    freshness.record_drained(clock.now)
+    drained_at = clock.now
+    clock.now += 0.3
+    updates.receive(report, clock.now)
+    assert updates.known_as_of(ENDPOINTS_TABLE, 1) == drained_at
+    clock.now += 6.0
+    updates.receive(report, clock.now)
+    assert updates.known_as_of(ENDPOINTS_TABLE, 1) == drained_at
