Serve requests whose target is in absolute form

Callers saw 404 for a proper request, since the target with its scheme and host was compared with the prefixes of routes. Each server has to accept that form (RFC 9112, 3.2.2), and its host goes before the field.

Found by a list of all places that make a status from 300 to 499, with a test for each. Three cases of the new test failed with 404 before and pass now. 120 sequences of proper requests, with bodies that look like heads, sent in pieces and short of memory, gave no such status before or after.

--- a/quetzalwall/connection/exchange.py
+++ b/quetzalwall/connection/exchange.py
@@ -14,6 +14,7 @@
 
 from quetzalwall.connection.http_server import STALL_TIMEOUT_S, QuietHandler
 from quetzalwall.connection.pipeline import MAX_WAITING_BYTES
+from quetzalwall.connection.request_line import split_target
 from quetzalwall.connection.send_buffers import acknowledged_bytes, enlarge_send_buffer
 from quetzalwall.connection.slow_readers import DeliveryConnection
 
@@ -94,7 +95,9 @@
         """
         environ = super().get_environ()
         environ[SOCKET_KEY] = self.socket
-        environ[TARGET_KEY] = self.path
+        host, environ[TARGET_KEY] = split_target(self.path)
+        if host:
+            environ["HTTP_HOST"] = host
         environ[EXCHANGE_KEY] = self
         return environ
 
