Ignore empty lines before a request line

Callers saw 400 and a closed connection if an empty line preceded a request, as some send one behind a body (RFC 9112, 2.2). The line was taken for a request line without a method.

Up to eight such bytes are dropped while the connection counts as idle.

--- a/quetzalwall/connection/http_server.py
+++ b/quetzalwall/connection/http_server.py
@@ -22,6 +22,7 @@
 from quetzalwall.connection.memory_budget import MemoryBudget
 from quetzalwall.connection.nodelay import NoDelayServer
 from quetzalwall.connection.request_heads import RequestHeads
+from quetzalwall.connection.request_line import await_request_line
 from quetzalwall.connection.yielding_socket import YIELD_SLEEP_S
 from quetzalwall.logs import describe_failure, get_logger, log_event
 
@@ -165,7 +166,7 @@
         idle = self.server.idle
         idle.add(self.socket)
         try:
-            if not self.rfile.peek(1):
+            if not await_request_line(self.rfile):
                 return ""
         except TimeoutError:
             return ""
--- a/quetzalwall/connection/pipelined_handler.py
+++ b/quetzalwall/connection/pipelined_handler.py
@@ -23,6 +23,7 @@
 )
 from quetzalwall.connection.memory_budget import MemoryBudget
 from quetzalwall.connection.pipeline import Admission, create_pipeline
+from quetzalwall.connection.request_line import await_request_line
 from quetzalwall.connection.slow_readers import Deliveries
 
 __all__ = ["PipelinedHandler", "Pipelining"]
@@ -138,7 +139,7 @@
         if not self._running:
             self.server.idle.add(self.socket)
         try:
-            if not self.rfile.peek(1):
+            if not await_request_line(self.rfile):
                 return ""
         except TimeoutError:
             self._timed_out = True
--- a/quetzalwall/connection/request_line.py
+++ b/quetzalwall/connection/request_line.py
@@ -1,6 +1,8 @@
 """Forms of a request line that the HTTP library does not read."""
 
-__all__ = ["split_target"]
+__all__ = ["await_request_line", "split_target"]
+
+MAX_EMPTY_BYTES = 8  # of empty lines before a request line
 
 SCHEMES = ("http://", "https://")
 
@@ -38,3 +40,26 @@
             path = rest[end:]
             return rest[:end], path if path.startswith("/") else f"/{path}"
     return "", target
+
+
+def await_request_line(rfile):
+    """Wait for the first byte of a request line, and drop empty lines before it.
+
+    Some callers send an empty line behind a body (RFC 9112, 2.2).
+
+    Parameters
+    ----------
+    rfile : io.BufferedReader
+        Reads from the connection.
+
+    Returns
+    -------
+    bool
+        False if the connection has ended.
+    """
+    for _ in range(MAX_EMPTY_BYTES):
+        first = rfile.peek(1)[:1]
+        if first not in (b"\r", b"\n"):
+            return bool(first)
+        rfile.read(1)
+    return bool(rfile.peek(1))
--- a/quetzalwall/process/tests/test_proper_requests.py
+++ b/quetzalwall/process/tests/test_proper_requests.py
@@ -50,6 +50,23 @@
         assert site.endpoints[0].arrivals
 
 
+# DENIED: an empty line before a request line was rejected as malformed (400).
+@params(
+    ("\r\n", ""),
+    ("\r\n\r\n\n", ""),
+    ("", f"POST /book/1 HTTP/1.1\r\n{FIELDS}Content-Length: 2\r\n\r\nhi\r\n"),
+)
+def test_an_empty_line_before_a_request_is_ignored(before, first):
+    with running_site(endpoints=1) as site:
+        statuses = exchange(site, f"{before}{first}{LAST}".encode())
+        assert statuses == [200] * (2 if first else 1)
+
+
+def test_lines_without_end_before_a_request_are_rejected():
+    with running_site(endpoints=1) as site:
+        assert exchange(site, b"\r\n" * 20 + LAST.encode()) == [400]
+
+
 def create_request(rng):
     """Return a proper request, with a body that looks like another one."""
     framing = rng.choice(("none", "length", "chunks"))
