Accept deadlines with a sign, a fraction or many digits

Callers saw 400 if the deadline that they had computed was negative, had a fraction or more than 12 digits, although it is a number of milliseconds. Both dialects now read it by the same function; one that has passed is rejected as too late, not run (503).

--- a/quetzalwall/connection/product_dialect.py
+++ b/quetzalwall/connection/product_dialect.py
@@ -7,6 +7,7 @@
 import json
 from uuid import uuid4
 
+from quetzalwall.connection.deadlines import parse_deadline_s
 from quetzalwall.connection.dialect import (
     HOP_BY_HOP_HEADERS,
     Dialect,
@@ -15,14 +16,12 @@
     combine_headers,
     forwarded_headers,
 )
-from quetzalwall.connection.digits import is_decimal
 from quetzalwall.connection.http_server import BadRequest
 from quetzalwall.request.response import Response
 
 __all__ = ["MAX_KEY_CHARACTERS", "OUTCOME_HEADER", "PRODUCT_DIALECT"]
 
 MAX_KEY_CHARACTERS = 200
-MAX_DEADLINE_DIGITS = 12
 OUTCOME_HEADER = "X-Quetzalwall-Outcome"
 STEP_HEADER = "X-Quetzalwall-Step"
 PEER_HEADER = "X-Quetzalwall-Peer"
@@ -47,14 +46,15 @@
 
 def _parse_request(environ):
     text = environ.get("HTTP_X_DEADLINE_MS")
-    if text is not None and not (is_decimal(text) and len(text) <= MAX_DEADLINE_DIGITS):
+    timeout_s = None if text is None else parse_deadline_s(text)
+    if text is not None and timeout_s is None:
         raise BadRequest(400, f"{DEADLINE_HEADER} is not a number: {text[:40]}")
     key = environ.get("HTTP_IDEMPOTENCY_KEY", "")
     if len(key) > MAX_KEY_CHARACTERS or not key.isprintable():
         raise BadRequest(400, f"Idempotency-Key is longer than {MAX_KEY_CHARACTERS}")
     return RequestMetadata(
         request_id=uuid4().hex,
-        timeout_s=None if text is None else int(text) / 1000,
+        timeout_s=timeout_s,
         object_key=environ.get("HTTP_X_OBJECT_KEY", ""),
         headers=forwarded_headers(environ, CONSUMED_HEADERS),
         idempotency_key=key,
--- a/quetzalwall/platform/headers.py
+++ b/quetzalwall/platform/headers.py
@@ -3,6 +3,7 @@
 import re
 from urllib.parse import parse_qs
 
+from quetzalwall.connection.deadlines import parse_deadline_s
 from quetzalwall.connection.dialect import (
     HOP_BY_HOP_HEADERS,
     Dialect,
@@ -78,11 +79,12 @@
         The deadline is not a number.
     """
     text = environ.get("HTTP_X_QUETZALWALL_DEADLINE_MS")
-    if text is not None and not (is_decimal(text) and len(text) <= 12):
+    timeout_s = None if text is None else parse_deadline_s(text)
+    if text is not None and timeout_s is None:
         raise BadRequest(400, f"{DEADLINE_HEADER} is not a number: {text[:40]}")
     return RequestMetadata(
         request_id=environ.get("HTTP_X_QUETZALWALL_REQUEST_ID", ""),
-        timeout_s=None if text is None else int(text) / 1000,
+        timeout_s=timeout_s,
         object_key=_object_key(environ.get("HTTP_COOKIE", "")),
         headers=forwarded_headers(environ, CONSUMED_HEADERS),
         credential=environ.get("HTTP_X_QUETZALWALL_CREDENTIAL", ""),
--- a/quetzalwall/process/tests/test_proper_requests.py
+++ b/quetzalwall/process/tests/test_proper_requests.py
@@ -67,6 +67,16 @@
         assert exchange(site, b"\r\n" * 20 + LAST.encode()) == [400]
 
 
+# DENIED: a deadline that a caller had computed got 400, as it had a sign, a fraction or
+# more than 12 digits.
+@params(("-3", 503), ("0", 503), ("1500.5", 200), ("0000000001500", 200), ("soon", 400))
+def test_a_deadline_may_have_passed_or_have_a_fraction(text, status):
+    with running_site(endpoints=1) as site:
+        head = f"GET /look/1 HTTP/1.1\r\n{FIELDS}{CLOSE}"
+        head += f"X-Quetzalwall-Deadline-Ms: {text}\r\n\r\n"
+        assert exchange(site, head.encode()) == [status]
+
+
 def create_request(rng):
     """Return a proper request, with a body that looks like another one."""
     framing = rng.choice(("none", "length", "chunks"))
