Reject requests without a key only by a current configuration

Callers without a key saw 401 from an instance that had not heard of the store for any length of time, although the route may need no key by now. The proof that the configuration is current was asked for only where a key was sent.

--- a/quetzalwall/request/request_reader.py
+++ b/quetzalwall/request/request_reader.py
@@ -194,8 +194,7 @@
             metadata = metadata._replace(account=name)
             raise Refused(metadata, route.name, STALE_CONFIGURATION)
         if account is None:
-            if metadata.credential:
-                self._check_current(cfg, metadata, route.name)
+            self._check_current(cfg, metadata, route.name)
             log_unknown_key(metadata, route, cfg.version)
             raise UnknownKey(route.name)
         return account
