Determine the rank of an instance only when a table is old

The check whether to ask the store runs ten times a second for each table and went through all instances that precede this one each time. It now looks at the age first.

--- a/quetzalwall/process/cluster/store_watch.py
+++ b/quetzalwall/process/cluster/store_watch.py
@@ -23,10 +23,10 @@
     store_rank,
 )
 from quetzalwall.process.cluster.table_trust import (
-    ask_after_s,
     ask_delay_s,
     bound_s,
     confirming_poll_s,
+    is_due,
 )
 from quetzalwall.process.tasks import repeat
 
@@ -203,17 +203,17 @@
 
     def _needs_store(self):
         """Return whether the other instances don't keep this one up to date."""
-        fleet, behind_s = self._fleet, self._behind_s()
-        if behind_s > ASK_STORE_AFTER_S + ask_delay_s(fleet):
-            self._log_asked("behind", behind_s)
+        fleet, overdue_s = self._fleet, self._behind_s() - ASK_STORE_AFTER_S
+        if overdue_s > 0 and overdue_s > ask_delay_s(fleet):
+            self._log_asked("behind", overdue_s + ASK_STORE_AFTER_S)
             return True
         age_s = self._monotonic() - self._current_as_of
-        if age_s > ask_after_s(fleet, bound_s(fleet.bounds, self._table)):
+        if is_due(fleet, bound_s(fleet.bounds, self._table), age_s):
             self._log_asked("unconfirmed", age_s)
             return True
         if self._rejects_when_stale():
             age_s = self._freshness.age_s()
-            if age_s > ask_after_s(fleet, self._freshness.max_age_s):
+            if is_due(fleet, self._freshness.max_age_s, age_s):
                 self._log_asked("unproved", age_s)
                 return True
         return False
--- a/quetzalwall/process/cluster/table_trust.py
+++ b/quetzalwall/process/cluster/table_trust.py
@@ -19,6 +19,7 @@
     "ask_delay_s",
     "bound_s",
     "confirming_poll_s",
+    "is_due",
     "max_trust_s",
 ]
 
@@ -101,9 +102,29 @@
     float
         Seconds; at most `max_trust_s`.
     """
-    trust_s, turns = max_trust_s(bound), _turn(fleet.peer_count())
-    later_turns = turns - min(turns, _turn(store_rank(fleet)))
-    return trust_s - later_turns * _turn_s(trust_s, turns)
+    first_s, turn_s, turns = _schedule(fleet, bound)
+    return first_s + min(turns, _turn(store_rank(fleet))) * turn_s
+
+
+def is_due(fleet, bound, age_s):
+    """Return whether a copy of a table is so old that this instance asks the store.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        The instances.
+    bound : float
+        Seconds within which a change has to take effect.
+    age_s : float
+        Age of the copy in seconds.
+
+    Returns
+    -------
+    bool
+    """
+    # The rank takes time that grows with the fleet, and mostly no group is due.
+    first_s, _, _ = _schedule(fleet, bound)
+    return age_s > first_s and age_s > ask_after_s(fleet, bound)
 
 
 def confirming_poll_s(fleet, bound, pause_s):
@@ -123,9 +144,8 @@
     float
         Seconds, so that no other instance needs to ask while each confirmation arrives.
     """
-    trust_s, turns = max_trust_s(bound), _turn(fleet.peer_count())
-    first_ask_s = trust_s - turns * _turn_s(trust_s, turns)
-    return max(MIN_POLL_S, first_ask_s - pause_s - SPREAD_S)
+    first_s, _, _ = _schedule(fleet, bound)
+    return max(MIN_POLL_S, first_s - pause_s - SPREAD_S)
 
 
 def _turn(rank):
@@ -133,5 +153,8 @@
     return (rank + 1).bit_length() // 2
 
 
-def _turn_s(trust_s, turns):
-    return min(TURN_S, MAX_TURNS_SHARE * trust_s / max(1, turns))
+def _schedule(fleet, bound):
+    """Return the age at which the first group asks, the time of a turn, and turns."""
+    trust_s, turns = max_trust_s(bound), _turn(fleet.peer_count())
+    turn_s = min(TURN_S, MAX_TURNS_SHARE * trust_s / max(1, turns))
+    return trust_s - turns * turn_s, turn_s, turns
