Count a request of the soak that got no connection as not read

Idle callers hold all connections of that instance, and the caller's connect times out after that time.

The check took any request that waited for 0.2 s for one that was read. The client now notes whether it had a connection, so that this is known instead of guessed: a request without one can't have been read, and one that has run counts as before. A request with a connection is checked as before, and a new test has all three cases.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -108,14 +108,16 @@
     def _send_request(self, rng, client, index, instance):
         req = self._next_request(rng)
         starts, sent = instance.starts, time.monotonic()
-        status, echo, body = 0, "", ""
+        status, echo, body, connected = 0, "", "", []
         with suppress(Exception):
             outgoing = OutgoingRequest(req.method, f"/{req.kind}/x", req.headers)
-            res = client.send(outgoing, TIMEOUT_S)
+            res = client.send(outgoing, TIMEOUT_S, lambda: connected.append(True))
             raw = bytes(res.read())
             status, echo = res.status_code, res.get("X-Quetzalwall-Request-Id") or ""
             body = raw.decode(errors="replace")
-        return self._attempt(req, index, instance, starts, sent, (status, echo, body))
+        result = status, echo, body
+        attempt = self._attempt(req, index, instance, starts, sent, result)
+        return attempt._replace(connected=bool(connected))
 
     def _send_ahead(self, rng, index, instance):
         """Send batches of requests on one connection, until it ends."""
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -51,6 +51,8 @@
         Whether the instance was in a planned stop, undisturbed by other faults.
     ahead : int, default=0
         Number of requests before it in the same write.
+    connected : bool, default=True
+        Whether there was a connection to send it on.
     """
 
     request_id: str
@@ -64,6 +66,7 @@
     body: str
     planned: bool
     ahead: int = 0
+    connected: bool = True
 
 
 class Breach(NamedTuple):
@@ -163,7 +166,7 @@
     for attempt in attempts:
         # A request that was sent while the instance closed the idle connection, or
         # behind a response that closed it, was never read.
-        waited = attempt.ended - attempt.sent > IDLE_CLOSE_RACE_S
+        waited = attempt.ended - attempt.sent > IDLE_CLOSE_RACE_S and attempt.connected
         was_read = runs[attempt.request_id] or (waited and not attempt.ahead)
         # The HTTP server responds with 500 when a request's task is killed.
         cut = attempt.status in (0, 500) or "the instance stopped" in attempt.body
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -120,6 +120,18 @@
     ) == {"drain"}
 
 
+# Seed 9343: idle callers held all connections of a stopping instance, and the connect
+# of another one timed out.
+def test_a_request_that_got_no_connection_is_not_cut_off():
+    for status, connected, runs, expected in [
+        (0, False, {}, set()),
+        (0, False, {"r1": 1}, {"planned stop"}),
+        (0, True, {}, {"planned stop"}),
+    ]:
+        attempt = _attempt(status, planned=True, connected=connected)
+        assert _breached([attempt], runs) == expected
+
+
 # Seed 4036 killed an instance 0.2 s after SIGTERM. The promise about planned stops does
 # not cover requests that the kill cuts off.
 def test_a_kill_during_a_stop_makes_it_unplanned():
