Send no confirmations once the instances' socket is closed

A call to the store that ended while the instance closed could have sent its confirmation on the closed socket, which is logged as a failed send. Found by reading; the relay now has a close() beside its start(). The tests of confirmations and of the cluster state pass (34).

--- a/quetzalwall/process/cluster/confirmation_relay.py
+++ b/quetzalwall/process/cluster/confirmation_relay.py
@@ -77,6 +77,10 @@
         """
         self._socket = sock
 
+    def close(self):
+        """Send no more confirmations."""
+        self._socket = None
+
     def spread_own(self):
         """Send what the store confirmed to this instance."""
         self._has_own = True
--- a/quetzalwall/process/cluster/fleet.py
+++ b/quetzalwall/process/cluster/fleet.py
@@ -118,6 +118,7 @@
         """Stop sending and receiving reports."""
         if self._socket is not None:
             self._task.kill()
+            self.confirmations.close()
             self._socket.close()
 
     def announce_cached(self, endpoint, object_key):
